--- /dev/null
+++ b/src/dogwoodtrack-scenario/session.cpp
@@ -0,0 +1,692 @@
+#include "session.hpp"
+
+#include <algorithm>
+#include <thread>
+
+#include <fmt/format.h>
+
+#include "dogwoodtrack/platform_client.hpp"
+
+namespace dogwoodtrack::scenario {
+
+namespace {
+
+constexpr milliseconds step{20};
+constexpr milliseconds look_interval{500};
+constexpr double start_patience = 20;
+constexpr std::uint32_t upstream_network = (172U << 24) | (16U << 16);
+constexpr std::uint32_t service_network = (198U << 24) | (18U << 16);
+constexpr std::uint16_t upstream_port = 8443;
+
+auto now() -> std::chrono::steady_clock::time_point {
+    return std::chrono::steady_clock::now();
+}
+
+auto to_duration(double value) -> std::chrono::steady_clock::duration {
+    return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+        std::chrono::duration<double>(value));
+}
+
+auto to_ms(double value) -> milliseconds {
+    return std::chrono::duration_cast<milliseconds>(to_duration(value));
+}
+
+auto check(const result<void> &outcome) -> void {
+    if (!outcome)
+        throw scenario_problem{outcome.error().message()};
+}
+
+// A number, or the element of a list that belongs to this index.
+auto pick(const json &terms, const char *name, std::size_t index,
+          double fallback) -> double {
+    const auto it = terms.find(name);
+    if (it == terms.end())
+        return fallback;
+    if (it->is_array())
+        return it->at(index % it->size()).get<double>();
+    return it->get<double>();
+}
+
+auto require_known(const json &terms, const char *word,
+                   std::initializer_list<const char *> known) -> void {
+    for (const auto &it : terms.items()) {
+        const auto matches = [&](const char *name) {
+            return it.key() == name;
+        };
+        if (std::none_of(known.begin(), known.end(), matches))
+            throw scenario_problem{fmt::format("{} does not know '{}'", word,
+                                               it.key())};
+    }
+}
+
+auto text(const json &terms, const char *word, const char *name)
+    -> std::string {
+    const auto it = terms.find(name);
+    if (it == terms.end() || !it->is_string())
+        throw scenario_problem{fmt::format("{} needs {}", word, name)};
+    return *it;
+}
+
+} // namespace
+
+session::session(session_options options) : options_(std::move(options)) {
+    auto opened = standin::fleet::open(options_.fleet);
+    if (!opened)
+        throw scenario_problem{opened.error().message()};
+    fleet_ = std::move(opened.value());
+}
+
+auto session::network() -> standin::traffic & {
+    return fleet_->network();
+}
+
+auto session::add_instance(const std::string &name,
+                           const std::string &domain) -> void {
+    check(fleet_->add_member(name, domain));
+    domains_[name] = domain;
+}
+
+auto session::add_service(const json &terms) -> void {
+    require_known(terms, "service",
+                  {"customer", "name", "protocol", "limit", "overload",
+                   "idempotent", "imbalance_tolerance", "replicas",
+                   "idle_timeout", "leave_within"});
+    scenario_service it{.customer = text(terms, "service", "customer"),
+                        .name = text(terms, "service", "name")};
+    const endpoint address{
+        .address = service_network + 1 +
+                   static_cast<std::uint32_t>(services_.size()),
+        .port = 443};
+    const auto protocol = terms.value("protocol", "tcp");
+    it.terms = {{"name", it.name},
+                {"address", to_string(address)},
+                {"protocol", protocol},
+                {"limit", terms.value("limit", "connections")},
+                {"overload", terms.value("overload", "place")},
+                {"idempotent", terms.value("idempotent", false)},
+                {"imbalanceTolerance",
+                 terms.value("imbalance_tolerance", 0.05)},
+                {"replicas", terms.value("replicas", 2)},
+                {"idleTimeoutSeconds", terms.value("idle_timeout", 14400)},
+                {"leaveWithinSeconds", terms.value("leave_within", 3)}};
+    it.index = network().add_service(
+        {.customer = it.customer,
+         .name = it.name,
+         .address = address,
+         .protocol = protocol == "tcp" ? transport::tcp : transport::udp});
+    services_.push_back(std::move(it));
+}
+
+auto session::add_upstreams(const json &terms) -> void {
+    require_known(terms, "upstreams",
+                  {"service", "count", "domains", "capacity", "connections",
+                   "slots", "service_ms"});
+    auto &service = find_service(text(terms, "upstreams", "service"));
+    const auto domains =
+        terms.at("domains").get<std::vector<std::string>>();
+    const auto count = terms.value("count", 1);
+    for (int i = 0; i < count; ++i) {
+        const auto number = service.upstreams.size();
+        const auto name = fmt::format("{}-{}", service.name, number + 1);
+        const endpoint address{.address =
+                                   upstream_network + 1 + next_upstream_++,
+                               .port = upstream_port};
+        const auto connections =
+            static_cast<std::uint32_t>(pick(terms, "connections", i, 2000));
+        const auto slots =
+            static_cast<std::uint32_t>(pick(terms, "slots", i, 3));
+        const auto capacity = pick(terms, "capacity", i, 1.0);
+        service.terms["upstreams"].push_back(
+            {{"name", name},
+             {"address", to_string(address)},
+             {"failureDomain", domains[i % domains.size()]},
+             {"connections", connections},
+             {"slots", slots},
+             {"capacity", capacity}});
+        service.upstreams.push_back(
+            {.name = name,
+             .address = address,
+             .customer = service.customer,
+             .service = service.index,
+             .capacity = capacity,
+             .limit = service.terms["limit"] == "slots" ? slots
+                                                        : connections,
+             .service_time = milliseconds(static_cast<int>(
+                 pick(terms, "service_ms", i, 1)))});
+        network().set_upstream(service.upstreams.back());
+    }
+}
+
+auto session::find_service(const std::string &name) -> scenario_service & {
+    for (auto &it : services_) {
+        if (it.name == name)
+            return it;
+    }
+    throw scenario_problem{"there is no service " + name};
+}
+
+auto session::find_upstream(const std::string &name)
+    -> std::pair<scenario_service *, upstream_profile *> {
+    for (auto &service : services_) {
+        for (auto &it : service.upstreams) {
+            if (it.name == name)
+                return {&service, &it};
+        }
+    }
+    throw scenario_problem{"there is no upstream " + name};
+}
+
+auto session::need_instance(const std::string &name)
+    -> standin::fleet_member & {
+    auto *it = fleet_->member(name);
+    if (it == nullptr)
+        throw scenario_problem{"there is no instance " + name};
+    return *it;
+}
+
+auto session::contract_spec(const std::string &customer) -> std::string {
+    json list = json::array();
+    for (const auto &it : services_) {
+        if (it.customer == customer)
+            list.push_back(it.terms);
+    }
+    return json{{"services", list}}.dump();
+}
+
+auto session::write_contract(const std::string &customer) -> std::uint64_t {
+    const platform_client client(
+        {.address = fleet_->platform_address(), .client_name = "scenario"});
+    for (int tries = 0; tries < 20; ++tries) {
+        auto current = client.get(platform_resource::contracts, customer);
+        platform_object object{
+            .name = customer,
+            .change_id = fmt::format("{}-{}", customer, written_[customer]),
+            .spec_json = contract_spec(customer)};
+        if (current)
+            object.resource_version = current.value().resource_version;
+        else if (current.error().kind != error_kind::platform_not_found)
+            throw scenario_problem{current.error().message()};
+        auto written = client.put_contract(object);
+        if (written)
+            return written_[customer] = written.value().generation;
+        if (written.error().kind != error_kind::contract_conflict)
+            throw scenario_problem{written.error().message()};
+    }
+    throw scenario_problem{"the contract cannot be written"};
+}
+
+auto session::publish_lists() -> void {
+    fleet_->publish_balancers();
+    for (const auto &it : services_)
+        fleet_->publish_upstreams(it.name, it.upstreams, it.terminating);
+}
+
+auto session::start() -> void {
+    std::set<std::string> customers;
+    for (const auto &it : services_)
+        customers.insert(it.customer);
+    for (const auto &it : customers)
+        write_contract(it);
+    publish_lists();
+    for (const auto &name : fleet_->names())
+        check(fleet_->start_member(name));
+    publish_lists();
+    if (!wait_for(start_patience, [this] { return all_ready(); }))
+        throw scenario_problem{"the balancers did not become ready"};
+    for (const auto &name : fleet_->names())
+        fleet_->fabric_uses(name, true, 1.0);
+    fleet_->mark_cost();
+}
+
+auto session::all_ready() -> bool {
+    for (const auto &name : fleet_->names()) {
+        const auto rows =
+            json::parse(fleet_->ask(name, "/upstreams"), nullptr, false);
+        std::size_t expected = 0;
+        for (const auto &it : services_)
+            expected += it.upstreams.size();
+        if (!rows.is_array() || rows.size() != expected)
+            return false;
+        for (const auto &row : rows) {
+            if (row["owner"] == "")
+                return false;
+        }
+        if (!status_of(name).value("placing", false))
+            return false;
+    }
+    return true;
+}
+
+auto session::later(double delay, std::function<void()> action) -> void {
+    pending_.push_back({now() + to_duration(delay), std::move(action)});
+}
+
+auto session::do_due() -> void {
+    const auto time = now();
+    for (std::size_t i = 0; i < pending_.size();) {
+        if (pending_[i].when > time) {
+            ++i;
+            continue;
+        }
+        const auto action = std::move(pending_[i].action);
+        pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(i));
+        action();
+    }
+}
+
+auto session::reachable_names() -> std::vector<std::string> {
+    std::vector<std::string> names;
+    for (const auto &name : fleet_->names()) {
+        const auto &it = *fleet_->member(name);
+        if (it.running && it.running->running() &&
+            !paused_.contains(name))
+            names.push_back(name);
+    }
+    return names;
+}
+
+auto session::status_of(const std::string &name) -> json {
+    const auto status =
+        json::parse(fleet_->ask(name, "/status"), nullptr, false);
+    return status.is_object() ? status : json::object();
+}
+
+// Contracts may only grow on an instance while it runs.
+auto session::look_at_daemons() -> void {
+    next_look_ = now() + look_interval;
+    for (const auto &name : reachable_names()) {
+        const auto contracts =
+            status_of(name).value("contracts", json::object());
+        for (const auto &[customer, generation] : contracts.items()) {
+            auto &seen = seen_[name][customer];
+            if (generation < seen)
+                ++reverts_;
+            seen = generation;
+        }
+    }
+}
+
+auto session::wait_for(double duration, const std::function<bool()> &ready)
+    -> bool {
+    const auto end = now() + to_duration(duration);
+    while (!ready()) {
+        if (now() >= end)
+            return false;
+        do_due();
+        std::this_thread::sleep_for(step);
+    }
+    return true;
+}
+
+auto session::run(double duration) -> void {
+    const auto end = now() + to_duration(duration);
+    while (now() < end) {
+        do_due();
+        if (now() >= next_look_)
+            look_at_daemons();
+        std::this_thread::sleep_for(
+            std::min<std::chrono::steady_clock::duration>(step,
+                                                          end - now()));
+    }
+}
+
+auto session::drain(double duration) -> void {
+    cost_ = fleet_->cost();
+    network().stop_opening();
+    wait_for(duration,
+             [this] { return network().report().open_flows == 0; });
+}
+
+auto session::stop_instance(const std::string &name) -> void {
+    need_instance(name);
+    fleet_->stop_member(name);
+    later(fabric_lag_, [this, name] {
+        fleet_->fabric_uses(name, false, 0);
+    });
+    later(live_lag_, [this] { fleet_->publish_balancers(); });
+    later(live_lag_ + 5, [this, name] {
+        if (!fleet_->member(name)->running->running())
+            fleet_->member(name)->listed = false;
+        fleet_->publish_balancers();
+    });
+}
+
+auto session::kill_instance(const std::string &name) -> void {
+    need_instance(name);
+    collect_events();
+    fleet_->kill_member(name);
+    seen_.erase(name);
+    later(fabric_lag_, [this, name] {
+        fleet_->fabric_uses(name, false, 0);
+    });
+    later(live_lag_ + 1, [this] { fleet_->publish_balancers(); });
+}
+
+auto session::pause_instance(const std::string &name, bool paused) -> void {
+    need_instance(name);
+    if (paused) {
+        fleet_->pause_member(name);
+        paused_.insert(name);
+        later(fabric_lag_, [this, name] {
+            fleet_->fabric_uses(name, !paused_.contains(name), 1);
+        });
+        return;
+    }
+    fleet_->resume_member(name);
+    paused_.erase(name);
+    fleet_->fabric_uses(name, true, 1);
+}
+
+auto session::join_instance(const std::string &name) -> void {
+    auto &it = need_instance(name);
+    if (it.running && it.running->running())
+        throw scenario_problem{name + " runs already"};
+    seen_.erase(name);
+    check(fleet_->start_member(name));
+    later(live_lag_, [this] { fleet_->publish_balancers(); });
+    const auto started = wait_for(
+        5, [&] { return !fleet_->ask(name, "/status").empty(); });
+    if (!started)
+        throw scenario_problem{name + " does not start"};
+    later(fabric_lag_, [this, name] {
+        fleet_->fabric_uses(name, true, 1);
+    });
+}
+
+auto session::has_stopped(const std::string &name) -> bool {
+    return !need_instance(name).running->running();
+}
+
+auto session::exit_code_of(const std::string &name) -> int {
+    return need_instance(name).running->exit_code();
+}
+
+auto session::add_flows(const json &terms) -> void {
+    require_known(terms, "flows",
+                  {"service", "rate", "count", "life", "gap", "answer_size",
+                   "request_size", "patience", "reuse_ports", "side"});
+    network().add_flows(
+        {.service = find_service(text(terms, "flows", "service")).index,
+         .rate = terms.value("rate", 10.0),
+         .count = terms.value("count", std::uint64_t{0}),
+         .life = to_ms(terms.value("life", 1.0)),
+         .gap = to_ms(terms.value("gap", 0.1)),
+         .answer_size = terms.value("answer_size", 800U),
+         .request_size = terms.value("request_size", 200U),
+         .patience = to_ms(terms.value("patience", 20.0)),
+         .reuse_ports = terms.value("reuse_ports", false),
+         .side = terms.value("side", "")});
+}
+
+auto session::set_store(const json &faults) -> void {
+    require_known(faults, "store",
+                  {"outage", "delay", "lose_answers", "stale_reads",
+                   "calls_per_second"});
+    fleet_->platform().set_faults(
+        {.outage = faults.value("outage", false),
+         .delay = to_ms(faults.value("delay", 0.0)),
+         .lose_answers = faults.value("lose_answers", 0U),
+         .stale_reads = faults.value("stale_reads", false),
+         .calls_per_second = faults.value("calls_per_second", 0U)});
+}
+
+auto session::set_fabric(const json &faults) -> void {
+    require_known(faults, "fabric",
+                  {"loss", "duplicate", "reorder", "weights"});
+    network().set_faults({.loss = faults.value("loss", 0.0),
+                          .duplicate = faults.value("duplicate", 0.0),
+                          .reorder = to_ms(faults.value("reorder", 0.0))});
+    for (const auto &[name, weight] :
+         faults.value("weights", json::object()).items()) {
+        need_instance(name);
+        fleet_->fabric_uses(name, true, weight.get<double>());
+    }
+}
+
+auto session::set_upstream(const json &change) -> void {
+    require_known(change, "upstream",
+                  {"name", "down", "shedding", "service_ms", "capacity",
+                   "connections"});
+    const auto [service, it] =
+        find_upstream(text(change, "upstream", "name"));
+    it->down = change.value("down", it->down);
+    it->shedding = change.value("shedding", it->shedding);
+    it->service_time = milliseconds(
+        change.value("service_ms", static_cast<int>(it->service_time.count())));
+    for (auto &terms : service->terms["upstreams"]) {
+        if (terms["name"] != it->name)
+            continue;
+        for (const auto *field : {"capacity", "connections"}) {
+            if (change.contains(field))
+                terms[field] = change[field];
+        }
+    }
+    it->capacity = change.value("capacity", it->capacity);
+    network().set_upstream(*it);
+}
+
+auto session::leave(const json &what) -> void {
+    require_known(what, "leave", {"upstream", "via", "limit", "undo"});
+    const auto name = text(what, "leave", "upstream");
+    const auto [service, it] = find_upstream(name);
+    const auto undo = what.value("undo", false);
+    if (undo)
+        network().unmark_leaving(name);
+    else
+        network().mark_leaving(name, to_ms(what.value("limit", 3.0)));
+    if (what.value("via", "contract") == "list") {
+        service->terminating.insert(name);
+        later(live_lag_, [this, service = service] {
+            fleet_->publish_upstreams(service->name, service->upstreams,
+                                      service->terminating);
+        });
+        return;
+    }
+    for (auto &terms : service->terms["upstreams"]) {
+        if (terms["name"] == name)
+            terms["leaving"] = !undo;
+    }
+    write_contract(service->customer);
+}
+
+auto session::cut(const json &what) -> void {
+    require_known(what, "cut", {"domain", "instances", "platform"});
+    std::set<std::string> group;
+    const auto domain = what.value("domain", "");
+    for (const auto &[name, of] : domains_) {
+        if (of == domain)
+            group.insert(name);
+    }
+    for (const auto &name : what.value("instances", json::array()))
+        group.insert(need_instance(name.get<std::string>()).name);
+    if (group.empty())
+        throw scenario_problem{"cut names no instance"};
+    const auto platform = what.value("platform", false);
+    if (platform)
+        cut_off_ = group;
+    fleet_->cut(group, platform);
+}
+
+auto session::heal() -> void {
+    cut_off_.clear();
+    fleet_->heal();
+}
+
+auto session::measure(const std::string &service) -> void {
+    network().measure_imbalance(find_service(service).index);
+    network().reset_relay_counts();
+    fleet_->mark_cost();
+}
+
+auto session::in_force(const std::string &customer) -> bool {
+    for (const auto &name : reachable_names()) {
+        if (cut_off_.contains(name))
+            continue;
+        const auto contracts =
+            status_of(name).value("contracts", json::object());
+        if (contracts.value(customer, std::uint64_t{0}) <
+            written_[customer])
+            return false;
+    }
+    return true;
+}
+
+auto session::apply(const std::string &customer, double patience) -> void {
+    write_contract(customer);
+    const auto start = now();
+    const auto done =
+        wait_for(patience, [&] { return in_force(customer); });
+    const std::chrono::duration<double, std::milli> spent = now() - start;
+    in_force_ms_max_ = std::max(in_force_ms_max_, spent.count());
+    if (!done)
+        in_force_ms_max_ = std::max(in_force_ms_max_, patience * 1e3);
+}
+
+auto session::race(const std::string &customer) -> int {
+    const platform_client client(
+        {.address = fleet_->platform_address(), .client_name = "scenario"});
+    auto current = client.get(platform_resource::contracts, customer);
+    if (!current)
+        throw scenario_problem{current.error().message()};
+    std::atomic<int> taken{0};
+    std::atomic<std::uint64_t> generation{0};
+    const auto write = [&](const char *who) {
+        auto object = current.value();
+        object.change_id = fmt::format("{}-{}", who, object.generation);
+        object.spec_json = contract_spec(customer);
+        auto written = client.put_contract(object);
+        if (written) {
+            ++taken;
+            generation = written.value().generation;
+        }
+    };
+    std::thread first([&] { write("first"); });
+    std::thread second([&] { write("second"); });
+    first.join();
+    second.join();
+    if (generation > 0)
+        written_[customer] = generation;
+    return taken;
+}
+
+auto session::owner_of(const std::string &service,
+                       const std::string &domain) -> std::string {
+    const auto &it = find_service(service);
+    for (const auto &name : reachable_names()) {
+        if (domains_[name] != domain)
+            continue;
+        const auto rows =
+            json::parse(fleet_->ask(name, "/upstreams"), nullptr, false);
+        if (!rows.is_array())
+            continue;
+        for (const auto &row : rows) {
+            if (row["service"] == it.customer + "/" + it.name &&
+                row["mine"] == true)
+                return name;
+        }
+    }
+    return "";
+}
+
+auto session::set_lag(const std::string &which, double lag) -> void {
+    (which == "live" ? live_lag_ : fabric_lag_) = lag;
+}
+
+auto session::collect_events() -> void {
+    for (const auto &name : reachable_names()) {
+        const auto list =
+            json::parse(fleet_->ask(name, "/timeline"), nullptr, false);
+        if (!list.is_array())
+            continue;
+        for (const auto &it : list)
+            events_[fmt::format("{:020}{}",
+                                it["stamp"].get<std::uint64_t>(), name)] =
+                it;
+    }
+}
+
+auto session::timeline() -> json {
+    collect_events();
+    json list = json::array();
+    for (const auto &[key, it] : events_)
+        list.push_back(it);
+    return list;
+}
+
+auto session::events_named(const std::string &kind) -> int {
+    collect_events();
+    int n = 0;
+    for (const auto &[key, it] : events_)
+        n += it["kind"] == kind ? 1 : 0;
+    return n;
+}
+
+auto session::report() -> json {
+    const auto seen = network().report();
+    if (cost_.rss_bytes == 0)
+        cost_ = fleet_->cost();
+    const auto share =
+        seen.midflow_packets == 0
+            ? 0.0
+            : static_cast<double>(seen.midflow_relayed) /
+                  static_cast<double>(seen.midflow_packets);
+    return {{"flows_opened", seen.flows_opened},
+            {"flows_established", seen.flows_established},
+            {"flows_finished", seen.flows_finished},
+            {"flows_broken", seen.flows_broken},
+            {"flows_broken_settled", seen.flows_broken_settled},
+            {"flows_unanswered", seen.flows_unanswered},
+            {"flows_refused", seen.flows_refused},
+            {"flows_open", seen.open_flows},
+            {"requests", seen.requests},
+            {"answers", seen.answers},
+            {"packets_sent", seen.packets_sent},
+            {"packets_misdelivered", seen.packets_misdelivered},
+            {"bad_checksums", seen.bad_checksums},
+            {"answers_mixed", seen.answers_mixed},
+            {"payloads_duplicated", seen.payloads_duplicated},
+            {"refused_but_run", seen.refused_but_run},
+            {"refused_midflow", seen.refused_midflow},
+            {"new_flows_to_leaving_after_limit",
+             seen.new_flows_to_leaving_after_limit},
+            {"contract_in_force_ms_max", in_force_ms_max_},
+            {"contract_reverts", reverts_},
+            {"capacity_exceeded", seen.capacity_exceeded},
+            {"imbalance_mean", seen.imbalance_mean},
+            {"imbalance_peak", seen.imbalance_peak},
+            {"relayed_share", share},
+            {"control_bytes_per_second_max", cost_.bytes_per_second},
+            {"control_cpu_fraction_max", cost_.cpu_fraction},
+            {"daemon_rss_bytes_max", cost_.rss_bytes},
+            {"conditions_reported",
+             fleet_->platform().usage().status_writes}};
+}
+
+auto session::value_of(const std::string &measure) -> double {
+    const auto all = report();
+    const auto it = all.find(measure);
+    if (it == all.end())
+        throw scenario_problem{"there is no measure " + measure};
+    return it->get<double>();
+}
+
+auto session::expect(const std::string &measure, const std::string &relation,
+                     double bound, int line) -> bool {
+    expectation it{.measure = measure,
+                   .relation = relation,
+                   .bound = bound,
+                   .value = value_of(measure),
+                   .line = line};
+    if (relation == "==")
+        it.met = it.value == bound;
+    else if (relation == "<=")
+        it.met = it.value <= bound;
+    else if (relation == ">=")
+        it.met = it.value >= bound;
+    else
+        throw scenario_problem{"expect knows ==, <= and >="};
+    expectations_.push_back(it);
+    return it.met;
+}
+
+} // namespace dogwoodtrack::scenario
--- /dev/null
+++ b/src/libdogwoodtrack/conditions.cpp
@@ -0,0 +1,130 @@
+#include "conditions.hpp"
+
+#include <algorithm>
+
+#include "health.hpp"
+
+namespace dogwoodtrack {
+
+namespace {
+
+constexpr milliseconds set_after{5000};
+constexpr milliseconds clear_after{10'000};
+// A peer repeats its report this often at least.
+constexpr milliseconds report_life{1500};
+
+// Broken means that no domain has room, since a full one passes its flows
+// on to the next.
+auto is_broken(const blackboard &board, const service_route &service,
+               const std::vector<std::uint32_t> &own, time_point now)
+    -> bool {
+    const auto here =
+        std::count(own.begin(), own.end(), service.id) > 0;
+    const auto it = board.troubled.find(service.id);
+    const auto elsewhere =
+        it != board.troubled.end() && now - it->second < report_life;
+    if (!here && !elsewhere)
+        return false;
+    std::uint64_t open = 0;
+    std::uint64_t room = 0;
+    for (const auto &domain : service.domains) {
+        if (domain.reachable)
+            open += domain.load->open.load();
+        for (const auto index : domain.upstreams) {
+            const auto &upstream = board.view->upstreams[index];
+            if (domain.reachable && upstream.in_service)
+                room += upstream.limit;
+        }
+    }
+    return open >= room;
+}
+
+auto judge(condition_state &state, bool broken, time_point now)
+    -> std::optional<bool> {
+    if (broken) {
+        if (state.first_bad == time_point{})
+            state.first_bad = now;
+        state.last_bad = now;
+        if (!state.set && now - state.first_bad >= set_after) {
+            state.set = true;
+            return true;
+        }
+        return std::nullopt;
+    }
+    if (!state.set) {
+        state.first_bad = {};
+        return std::nullopt;
+    }
+    if (now - state.last_bad < clear_after)
+        return std::nullopt;
+    state = {};
+    return false;
+}
+
+// The live, reachable balancer with the highest hash reports.
+auto reports_for(const blackboard &board, const std::string &customer,
+                 std::uint32_t id) -> bool {
+    const auto key = hash_name(customer);
+    auto best = board.self.id;
+    for (const auto &[peer_id, it] : board.peers) {
+        if (it.info.status == member_status::live &&
+            !board.cut_domains.contains(it.info.failure_domain) &&
+            hash_pair(key, peer_id) > hash_pair(key, best))
+            best = peer_id;
+    }
+    return best == id;
+}
+
+} // namespace
+
+auto is_reporter(const blackboard &board, const std::string &customer)
+    -> bool {
+    return reports_for(board, customer, board.self.id);
+}
+
+auto announce_trouble(const blackboard &board, control_actions &actions)
+    -> void {
+    for (const auto id : troubled_services(board)) {
+        const auto *service = service_by_id(board, id);
+        for (const auto &[peer_id, peer] : board.peers) {
+            if (!reports_for(board, service->customer, peer_id))
+                continue;
+            wire::Envelope message;
+            message.mutable_heartbeat()->set_id(board.self.id);
+            message.mutable_heartbeat()->set_incarnation(
+                board.incarnation);
+            message.mutable_heartbeat()->set_version(board.version);
+            message.mutable_heartbeat()->add_troubled(id);
+            send_to(actions, peer, message);
+        }
+    }
+}
+
+auto tick_conditions(blackboard &board, time_point now)
+    -> std::vector<condition_change> {
+    std::vector<condition_change> changes;
+    if (!board.view)
+        return changes;
+    const auto own = troubled_services(board);
+    for (const auto &service : board.view->services) {
+        const auto name = service.customer + "/" + service.name;
+        auto &state = board.conditions[name];
+        const auto changed =
+            judge(state, is_broken(board, service, own, now), now);
+        if (!changed || !is_reporter(board, service.customer))
+            continue;
+        const std::string reason =
+            "every upstream in service is at its limit; raise the limits "
+            "or add upstreams";
+        board.events->record(*changed ? event_kind::condition_set
+                                      : event_kind::condition_cleared,
+                             name, 0, reason);
+        changes.push_back({.customer = service.customer,
+                           .service = service.name,
+                           .set = *changed,
+                           .reason = reason});
+    }
+    return changes;
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/control_loop.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <functional>
+#include <mutex>
+
+#include "blackboard.hpp"
+#include "dogwoodtrack/daemon.hpp"
+#include "dogwoodtrack/peer_channel.hpp"
+#include "platform_feed.hpp"
+#include "worker.hpp"
+
+namespace dogwoodtrack {
+
+/// Everything the control thread works with.
+struct control_context {
+    const daemon_options &options;
+    blackboard board;
+    peer_channel channel;
+    platform_feed &feed;
+    std::vector<std::unique_ptr<packet_worker>> &workers;
+    fault_filter &faults;
+    metric_set metrics;
+    time_point next_slow_tick{};
+    time_point stop_asked{};
+    time_point left_at{};
+    std::uint64_t broken_messages = 0;
+
+    std::mutex questions_mutex;
+    std::vector<std::function<void()>> questions;
+};
+
+/// Runs the controllers until the planned stop that `stop` asks for is
+/// done. Returns whether it was done before the deadline.
+auto run_control(control_context &it, const std::atomic<bool> &stop) -> bool;
+
+/// Has `question` answered by the control thread and waits for it.
+/// Thread safe.
+auto ask_control(control_context &it, const std::function<void()> &question)
+    -> void;
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/copying.cpp
@@ -0,0 +1,309 @@
+#include "copying.hpp"
+
+#include <algorithm>
+#include <cstring>
+
+#include "membership.hpp"
+
+namespace dogwoodtrack {
+
+namespace {
+
+constexpr std::size_t record_size = 13;
+constexpr std::uint8_t flag_closed = 1;
+constexpr std::uint8_t flag_forwarded = 2;
+constexpr milliseconds request_timeout{5000};
+constexpr milliseconds all_ages{24 * 3600 * 1000};
+// Closed flows are remembered for a minute; after a longer absence a copy
+// of the changes alone would miss ends.
+constexpr milliseconds partial_copy_limit{30'000};
+constexpr milliseconds partial_copy_margin{5000};
+
+auto put32(std::string &out, std::uint32_t value) -> void {
+    out.append(reinterpret_cast<const char *>(&value), sizeof value);
+}
+
+auto put16(std::string &out, std::uint16_t value) -> void {
+    out.append(reinterpret_cast<const char *>(&value), sizeof value);
+}
+
+// Rank of this instance among the live ones that could own the service.
+auto own_rank(const blackboard &board, std::uint32_t service)
+    -> std::size_t {
+    const auto members = all_members(board);
+    const auto order =
+        rank_members(members, board.self.failure_domain, service);
+    for (std::size_t i = 0; i < order.size(); ++i) {
+        if (order[i]->id == board.self.id)
+            return i;
+    }
+    return order.size();
+}
+
+auto mark_synced(blackboard &board, std::uint32_t service, time_point now,
+                 control_actions &actions) -> void {
+    board.self.synced.push_back(service);
+    board.syncs.erase(service);
+    board.paused_services.erase(service);
+    ++board.version;
+    announce_self(board, now, actions);
+}
+
+auto request_sync(blackboard &board, std::uint32_t service,
+                  std::uint32_t owner, time_point now,
+                  control_actions &actions) -> void {
+    auto &progress = board.syncs[service];
+    if (progress.source == owner &&
+        now - progress.requested < request_timeout)
+        return;
+    const auto peer = board.peers.find(owner);
+    if (peer == board.peers.end())
+        return;
+    if (progress.source != owner)
+        board.events->record(event_kind::sync_started,
+                             peer->second.info.name, 0,
+                             std::to_string(service));
+    progress = {.source = owner, .requested = now};
+    const auto partial = board.paused_services.contains(service) &&
+                         board.gap < partial_copy_limit;
+    const auto age = partial ? board.gap + partial_copy_margin : all_ages;
+    wire::Envelope message;
+    message.mutable_sync_request()->add_services(service);
+    message.mutable_sync_request()->set_age_ms(
+        static_cast<std::uint64_t>(age.count()));
+    send_to(actions, peer->second, message);
+}
+
+// With nobody to copy from, the first in rank may start with its own
+// records once it has had time to hear of everybody.
+auto start_without_copy(blackboard &board, std::uint32_t service,
+                        time_point now, control_actions &actions) -> void {
+    const auto settled = now - board.started > board.options.settle &&
+                         now > board.deaf_until + board.options.lease;
+    if (settled && board.lease->holds(now) && own_rank(board, service) == 0)
+        mark_synced(board, service, now, actions);
+}
+
+auto tick_service(blackboard &board, const service_route &service,
+                  const domain_route &domain, time_point now,
+                  control_actions &actions) -> void {
+    if (is_synced(board, service.id) ||
+        board.self.status != member_status::live)
+        return;
+    if (domain.owner == 0)
+        return start_without_copy(board, service.id, now, actions);
+    if (own_rank(board, service.id) <= service.replicas)
+        request_sync(board, service.id, domain.owner, now, actions);
+}
+
+auto pay_out(blackboard &board, control_actions &actions) -> void {
+    for (auto &job : board.sync_jobs) {
+        if (board.sync_credit <= 0)
+            return;
+        if (job.waiting)
+            continue;
+        const auto *service = service_by_id(board, job.service);
+        if (service == nullptr)
+            continue;
+        job.waiting = true;
+        actions.requests.push_back(
+            {.what = worker_request::kind::export_records,
+             .worker = job.worker,
+             .records = {},
+             .service = service->address,
+             .protocol = service->protocol,
+             .age = job.age,
+             .cursor = job.cursor});
+        return;
+    }
+}
+
+auto send_batch(blackboard &board, const sync_job &job,
+                const std::vector<flow_record> &records, bool done,
+                control_actions &actions) -> void {
+    const auto peer = board.peers.find(job.peer);
+    if (peer == board.peers.end())
+        return;
+    wire::Envelope message;
+    auto &batch = *message.mutable_sync_batch();
+    batch.set_service(job.service);
+    batch.set_records(pack_records(records));
+    batch.set_done(done);
+    board.sync_credit -= static_cast<double>(message.ByteSizeLong());
+    send_to(actions, peer->second, message);
+}
+
+} // namespace
+
+auto pack_records(const std::vector<flow_record> &records) -> std::string {
+    std::string out;
+    out.reserve(records.size() * record_size);
+    for (const auto &it : records) {
+        put32(out, it.key.caller.address);
+        put16(out, it.key.caller.port);
+        put32(out, it.upstream.address);
+        put16(out, it.upstream.port);
+        const auto flags = (it.closed ? flag_closed : 0) |
+                           (it.forwarded ? flag_forwarded : 0);
+        out.push_back(static_cast<char>(flags));
+    }
+    return out;
+}
+
+auto unpack_records(const std::string &bytes, const endpoint &service,
+                    transport protocol, std::vector<flow_record> &out)
+    -> bool {
+    if (bytes.size() % record_size != 0)
+        return false;
+    for (std::size_t at = 0; at < bytes.size(); at += record_size) {
+        flow_record it{.key = {.service = service, .protocol = protocol}};
+        const auto *from = bytes.data() + at;
+        std::memcpy(&it.key.caller.address, from, 4);
+        std::memcpy(&it.key.caller.port, from + 4, 2);
+        std::memcpy(&it.upstream.address, from + 6, 4);
+        std::memcpy(&it.upstream.port, from + 10, 2);
+        it.closed = (from[12] & flag_closed) != 0;
+        it.forwarded = (from[12] & flag_forwarded) != 0;
+        out.push_back(it);
+    }
+    return true;
+}
+
+auto tick_copying(blackboard &board, time_point now,
+                  control_actions &actions) -> void {
+    if (!board.view)
+        return;
+    const auto rate =
+        static_cast<double>(board.options.sync_bytes_per_second);
+    board.sync_credit = std::min(rate, board.sync_credit + rate / 20);
+    const auto view = board.view;
+    for (const auto &service : view->services) {
+        for (const auto &domain : service.domains) {
+            if (domain.failure_domain == board.self.failure_domain)
+                tick_service(board, service, domain, now, actions);
+        }
+    }
+    pay_out(board, actions);
+}
+
+auto on_sync_request(blackboard &board, const wire::Envelope &message,
+                     control_actions &actions) -> void {
+    (void)actions;
+    const auto &request = message.sync_request();
+    for (const auto service : request.services()) {
+        const auto same = [&](const sync_job &it) {
+            return it.peer == message.from() && it.service == service;
+        };
+        if (!is_synced(board, service) ||
+            std::any_of(board.sync_jobs.begin(), board.sync_jobs.end(),
+                        same))
+            continue;
+        board.sync_jobs.push_back(
+            {.peer = message.from(),
+             .service = service,
+             .age = milliseconds(
+                 std::min<std::uint64_t>(request.age_ms(),
+                                         all_ages.count()))});
+    }
+}
+
+auto on_sync_batch(blackboard &board, const wire::Envelope &message,
+                   time_point now, control_actions &actions) -> void {
+    const auto &batch = message.sync_batch();
+    const auto *service = service_by_id(board, batch.service());
+    if (service == nullptr)
+        return;
+    worker_request request{.what = worker_request::kind::import_records,
+                           .records = {},
+                           .service = service->address,
+                           .protocol = service->protocol};
+    if (!unpack_records(batch.records(), service->address,
+                        service->protocol, request.records))
+        return;
+    if (!request.records.empty())
+        actions.requests.push_back(request);
+    const auto progress = board.syncs.find(batch.service());
+    if (progress == board.syncs.end() ||
+        progress->second.source != message.from())
+        return;
+    progress->second.requested = now;
+    if (!batch.done())
+        return;
+    board.events->record(event_kind::sync_done,
+                         service->customer + "/" + service->name);
+    mark_synced(board, batch.service(), now, actions);
+}
+
+auto on_exported(blackboard &board, const std::vector<flow_record> &records,
+                 std::size_t next, std::size_t workers,
+                 control_actions &actions) -> void {
+    const auto job = std::find_if(
+        board.sync_jobs.begin(), board.sync_jobs.end(),
+        [](const sync_job &it) { return it.waiting; });
+    if (job == board.sync_jobs.end())
+        return;
+    job->waiting = false;
+    job->cursor = next;
+    if (next == 0)
+        ++job->worker;
+    const auto done = job->worker >= workers;
+    if (!records.empty() || done)
+        send_batch(board, *job, records, done, actions);
+    if (done)
+        board.sync_jobs.erase(job);
+}
+
+auto announce_expired(blackboard &board,
+                      const std::vector<expired_flow> &flows,
+                      control_actions &actions) -> void {
+    if (!board.view)
+        return;
+    std::map<std::uint32_t, std::vector<flow_record>> by_service;
+    for (const auto &it : flows) {
+        const auto *service =
+            board.view->find_service(it.key.service, it.key.protocol);
+        if (service != nullptr)
+            by_service[service->id].push_back(
+                {.key = it.key, .upstream = it.upstream, .closed = true});
+    }
+    for (const auto &[id, records] : by_service) {
+        for (const auto &service : board.view->services) {
+            for (const auto &domain : service.domains) {
+                if (service.id != id ||
+                    domain.failure_domain != board.self.failure_domain)
+                    continue;
+                for (std::uint8_t i = 0; i < domain.replica_count; ++i)
+                    send_batch(board,
+                               {.peer = domain.replicas[i], .service = id},
+                               records, false, actions);
+            }
+        }
+    }
+}
+
+auto may_leave(const blackboard &board) -> bool {
+    if (!board.view)
+        return true;
+    for (const auto &service : board.view->services) {
+        for (const auto &domain : service.domains) {
+            if (domain.failure_domain != board.self.failure_domain ||
+                domain.owner != board.self.id)
+                continue;
+            std::size_t live = 0;
+            std::size_t synced = 0;
+            for (const auto &[id, it] : board.peers) {
+                if (it.info.failure_domain != board.self.failure_domain ||
+                    it.info.status != member_status::live)
+                    continue;
+                ++live;
+                synced += std::count(it.info.synced.begin(),
+                                     it.info.synced.end(), service.id) > 0;
+            }
+            if (live > 0 && synced == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/documents.cpp
@@ -0,0 +1,271 @@
+#include "documents.hpp"
+
+#include <algorithm>
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "membership.hpp"
+
+namespace dogwoodtrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t watchers_per_domain = 2;
+
+auto condition_of(const json &entry, const char *name, bool fallback)
+    -> bool {
+    const auto conditions = entry.value("conditions", json::object());
+    const auto it = conditions.find(name);
+    return it != conditions.end() && it->is_boolean() ? it->get<bool>()
+                                                      : fallback;
+}
+
+struct slice_ports {
+    std::uint16_t first = 0;
+    std::uint16_t control = 0;
+};
+
+auto read_ports(const json &slice) -> slice_ports {
+    slice_ports ports;
+    for (const auto &it : slice.value("ports", json::array())) {
+        const auto port = it.value("port", std::uint16_t{0});
+        if (it.value("name", "") == "control")
+            ports.control = port;
+        else
+            ports.first = port;
+    }
+    return ports;
+}
+
+auto read_address(const json &entry) -> std::uint32_t {
+    const auto list = entry.value("addresses", json::array());
+    in_addr parsed{};
+    if (list.empty() || !list[0].is_string() ||
+        inet_pton(AF_INET, list[0].get_ref<const std::string &>().c_str(),
+                  &parsed) != 1)
+        return 0;
+    return ntohl(parsed.s_addr);
+}
+
+auto read_state(const json &entry) -> listed_instance {
+    return {.ready = condition_of(entry, "ready", true) ||
+                     condition_of(entry, "serving", false),
+            .terminating = condition_of(entry, "terminating", false)};
+}
+
+auto apply_balancers(blackboard &board, const json &slice, time_point now)
+    -> void {
+    const auto ports = read_ports(slice);
+    board.balancers.clear();
+    for (const auto &it : slice.value("endpoints", json::array())) {
+        const auto address = read_address(it);
+        const auto name =
+            it.value("targetRef", json::object()).value("name", "");
+        if (address == 0 || name.empty())
+            continue;
+        board.balancers[name] = {
+            .name = name,
+            .failure_domain = it.value("zone", ""),
+            .link = {.address = address, .port = ports.first},
+            .control = {.address = address, .port = ports.control},
+            .state = read_state(it)};
+    }
+    board.balancers_known = true;
+    on_balancers_listed(board, now);
+}
+
+// All lists of upstreams together make one table.
+auto apply_upstream_lists(blackboard &board) -> void {
+    board.listed.clear();
+    for (const auto &[name, value] : board.documents) {
+        if (!name.starts_with(live_prefix) || name == balancer_list)
+            continue;
+        const auto slice = json::parse(value.json, nullptr, false);
+        if (!slice.is_object())
+            continue;
+        const auto ports = read_ports(slice);
+        for (const auto &it : slice.value("endpoints", json::array())) {
+            const auto address = read_address(it);
+            if (address != 0)
+                board.listed[{.address = address, .port = ports.first}] =
+                    read_state(it);
+        }
+    }
+}
+
+auto reject_document(blackboard &board, const std::string &name,
+                     std::uint64_t generation, const error &why) -> bool {
+    board.events->record(event_kind::contract_rejected, name, generation,
+                         why.message());
+    return false;
+}
+
+auto apply_contract(blackboard &board, const std::string &name,
+                    const document &value) -> bool {
+    const auto customer =
+        name.substr(std::string_view(contract_prefix).size());
+    auto parsed = parse_contract(customer, value.generation, value.json);
+    if (!parsed)
+        return reject_document(board, name, value.generation,
+                               parsed.error());
+    const auto apart = check_overlap(parsed.value(), board.contracts);
+    if (!apart)
+        return reject_document(board, name, value.generation,
+                               apart.error());
+    auto &all = board.contracts;
+    const auto it =
+        std::find_if(all.begin(), all.end(), [&](const contract &one) {
+            return one.customer == customer;
+        });
+    if (it == all.end())
+        all.push_back(std::move(parsed.value()));
+    else
+        *it = std::move(parsed.value());
+    board.events->record(event_kind::contract_accepted, customer,
+                         value.generation);
+    return true;
+}
+
+auto apply_live_list(blackboard &board, const std::string &name,
+                     const document &value, time_point now) -> bool {
+    const auto slice = json::parse(value.json, nullptr, false);
+    if (!slice.is_object())
+        return false;
+    try {
+        if (name == balancer_list)
+            apply_balancers(board, slice, now);
+    } catch (const json::exception &problem) {
+        return reject_document(
+            board, name, value.generation,
+            {error_kind::platform_refused, problem.what()});
+    }
+    return true;
+}
+
+auto send_document(const blackboard &board, const peer_state &peer,
+                   const std::string &name, control_actions &actions)
+    -> void {
+    const auto it = board.documents.find(name);
+    if (it == board.documents.end())
+        return;
+    wire::Envelope message;
+    auto &body = *message.mutable_document();
+    body.set_name(name);
+    body.set_generation(it->second.generation);
+    body.set_json(it->second.json);
+    send_to(actions, peer, message);
+}
+
+// One version goes to the neighbours and to one balancer of each other
+// domain; those that lack it pull it and offer it on.
+auto offer_document(const blackboard &board, const std::string &name,
+                    std::uint64_t generation, control_actions &actions)
+    -> void {
+    wire::Envelope message;
+    auto *version = message.mutable_digest()->add_versions();
+    version->set_name(name);
+    version->set_generation(generation);
+    std::map<std::uint32_t, bool> told;
+    for (const auto *peer : neighbours_of(board)) {
+        if (peer->info.status != member_status::dead)
+            send_to(actions, *peer, message);
+    }
+    for (const auto &[id, peer] : board.peers) {
+        const auto domain = peer.info.failure_domain;
+        if (domain == board.self.failure_domain ||
+            peer.info.status == member_status::dead || told[domain])
+            continue;
+        told[domain] = true;
+        send_to(actions, peer, message);
+    }
+}
+
+auto generation_of(const blackboard &board, const std::string &name)
+    -> std::uint64_t {
+    const auto it = board.documents.find(name);
+    return it == board.documents.end() ? 0 : it->second.generation;
+}
+
+} // namespace
+
+auto accept_document(blackboard &board, const std::string &name,
+                     const document &value, time_point now,
+                     control_actions &actions) -> bool {
+    if (value.generation <= generation_of(board, name))
+        return false;
+    const auto is_contract = name.starts_with(contract_prefix);
+    const auto taken = is_contract
+                           ? apply_contract(board, name, value)
+                           : apply_live_list(board, name, value, now);
+    if (!taken)
+        return false;
+    board.documents[name] = value;
+    if (!is_contract)
+        apply_upstream_lists(board);
+    board.view_stale = true;
+    offer_document(board, name, value.generation, actions);
+    return true;
+}
+
+auto on_digest(blackboard &board, const wire::Envelope &message,
+               control_actions &actions) -> void {
+    const auto sender = board.peers.find(message.from());
+    if (sender == board.peers.end())
+        return;
+    wire::Envelope reply;
+    for (const auto &it : message.digest().versions()) {
+        const auto own = generation_of(board, it.name());
+        if (it.generation() > own)
+            reply.mutable_pull()->add_names(it.name());
+        else if (it.generation() < own)
+            send_document(board, sender->second, it.name(), actions);
+    }
+    if (reply.has_pull())
+        send_to(actions, sender->second, reply);
+}
+
+auto on_pull(blackboard &board, const wire::Envelope &message,
+             control_actions &actions) -> void {
+    const auto sender = board.peers.find(message.from());
+    if (sender == board.peers.end())
+        return;
+    for (const auto &it : message.pull().names())
+        send_document(board, sender->second, it, actions);
+}
+
+auto on_document(blackboard &board, const wire::Envelope &message,
+                 time_point now, control_actions &actions) -> void {
+    const auto &body = message.document();
+    accept_document(board, body.name(),
+                    {.generation = body.generation(), .json = body.json()},
+                    now, actions);
+}
+
+auto offer_versions(const blackboard &board, const peer_state &peer,
+                    control_actions &actions) -> void {
+    wire::Envelope message;
+    for (const auto &[name, it] : board.documents) {
+        auto *version = message.mutable_digest()->add_versions();
+        version->set_name(name);
+        version->set_generation(it.generation);
+    }
+    send_to(actions, peer, message);
+}
+
+auto is_watcher(const blackboard &board) -> bool {
+    const auto members = all_members(board);
+    const auto order = rank_members(members, board.self.failure_domain,
+                                    hash_name("platform watcher"));
+    for (std::size_t i = 0; i < std::min(watchers_per_domain, order.size());
+         ++i) {
+        if (order[i]->id == board.self.id)
+            return true;
+    }
+    return false;
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/fault_filter.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <vector>
+
+namespace dogwoodtrack {
+
+/// Addresses this process must not reach, set by tests to act out a cut
+/// network. Empty unless the daemon runs with --fault-injection. Thread safe.
+class fault_filter {
+public:
+    static constexpr std::size_t limit = 512;
+
+    auto set(const std::vector<std::uint32_t> &addresses, bool platform)
+        -> void {
+        count_.store(0);
+        const auto n = std::min(limit, addresses.size());
+        for (std::size_t i = 0; i < n; ++i)
+            addresses_[i].store(addresses[i]);
+        count_.store(n);
+        platform_.store(platform);
+    }
+
+    auto blocks(std::uint32_t address) const -> bool {
+        const auto n = count_.load(std::memory_order_relaxed);
+        for (std::size_t i = 0; i < n; ++i) {
+            if (addresses_[i].load(std::memory_order_relaxed) == address)
+                return true;
+        }
+        return false;
+    }
+
+    auto blocks_platform() const -> const std::atomic<bool> & {
+        return platform_;
+    }
+
+private:
+    std::array<std::atomic<std::uint32_t>, limit> addresses_{};
+    std::atomic<std::size_t> count_{0};
+    std::atomic<bool> platform_{false};
+};
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/membership.cpp
@@ -0,0 +1,486 @@
+#include "membership.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack {
+
+namespace {
+
+// Loads are reported for the services an instance owns; a heartbeat names
+// at most this many, in turn.
+constexpr std::size_t loads_per_heartbeat = 16;
+constexpr milliseconds drain_after_pause{300};
+constexpr milliseconds doubt_before_pause{5000};
+
+auto describe_self(const blackboard &board) -> wire::MemberState {
+    wire::MemberState state;
+    state.set_name(board.self.name);
+    state.set_failure_domain(board.domain_name);
+    state.set_address(board.self.link.address);
+    state.set_link_port(board.self.link.port);
+    state.set_control_port(board.self.control.port);
+    state.set_incarnation(board.incarnation);
+    state.set_version(board.version);
+    state.set_status(static_cast<std::uint32_t>(board.self.status));
+    for (const auto it : board.self.synced)
+        state.add_synced(it);
+    return state;
+}
+
+auto describe_peer(const peer_state &peer) -> wire::MemberState {
+    wire::MemberState state;
+    state.set_name(peer.info.name);
+    state.set_failure_domain(peer.domain_name);
+    state.set_address(peer.info.link.address);
+    state.set_link_port(peer.info.link.port);
+    state.set_control_port(peer.info.control.port);
+    state.set_incarnation(peer.incarnation);
+    state.set_version(peer.version);
+    state.set_status(static_cast<std::uint32_t>(peer.info.status));
+    for (const auto it : peer.info.synced)
+        state.add_synced(it);
+    return state;
+}
+
+auto members_digest(const blackboard &board) -> std::uint64_t {
+    std::uint64_t digest = 0;
+    const auto add = [&](std::uint32_t id, std::uint64_t incarnation,
+                         std::uint64_t version) {
+        digest ^= hash_pair(hash_pair(id, incarnation), version);
+    };
+    add(board.self.id, board.incarnation, board.version);
+    for (const auto &[id, it] : board.peers) {
+        if (it.incarnation != 0)
+            add(id, it.incarnation, it.version);
+    }
+    return digest;
+}
+
+auto add_loads(const blackboard &board, wire::Heartbeat &beat) -> void {
+    if (!board.view)
+        return;
+    for (const auto &service : board.view->services) {
+        for (const auto &domain : service.domains) {
+            if (domain.failure_domain != board.self.failure_domain ||
+                !domain.load->known.load())
+                continue;
+            if (beat.loads_size() ==
+                static_cast<int>(loads_per_heartbeat))
+                return;
+            auto *load = beat.add_loads();
+            load->set_service(service.id);
+            load->set_open(domain.load->open.load());
+            load->set_failure_domain(domain.failure_domain);
+        }
+    }
+}
+
+auto make_heartbeat(const blackboard &board) -> wire::Envelope {
+    wire::Envelope message;
+    auto &beat = *message.mutable_heartbeat();
+    beat.set_id(board.self.id);
+    beat.set_incarnation(board.incarnation);
+    beat.set_version(board.version);
+    beat.set_documents_digest(documents_digest(board));
+    beat.set_members_digest(members_digest(board));
+    return message;
+}
+
+// The states of all members, in answer to one whose view differs.
+auto add_all_states(const blackboard &board, wire::Heartbeat &beat) -> void {
+    *beat.add_states() = describe_self(board);
+    for (const auto &[id, it] : board.peers) {
+        if (it.incarnation != 0)
+            *beat.add_states() = describe_peer(it);
+    }
+}
+
+auto send_state(const blackboard &board, const wire::MemberState &state,
+                std::uint32_t except, control_actions &actions) -> void {
+    for (const auto *peer : neighbours_of(board)) {
+        if (peer->info.id == except)
+            continue;
+        auto message = make_heartbeat(board);
+        *message.mutable_heartbeat()->add_states() = state;
+        send_to(actions, *peer, message);
+    }
+}
+
+// One reachable member of each other failure domain, in rotation.
+auto domain_contacts(const blackboard &board)
+    -> std::vector<const peer_state *> {
+    std::map<std::uint32_t, std::vector<const peer_state *>> by_domain;
+    for (const auto &[id, it] : board.peers) {
+        if (it.info.failure_domain != board.self.failure_domain &&
+            (it.info.status != member_status::dead || it.incarnation == 0))
+            by_domain[it.info.failure_domain].push_back(&it);
+    }
+    std::vector<const peer_state *> contacts;
+    for (const auto &[domain, list] : by_domain)
+        contacts.push_back(list[board.domain_rotation % list.size()]);
+    return contacts;
+}
+
+auto send_state_abroad(const blackboard &board,
+                       const wire::MemberState &state,
+                       control_actions &actions) -> void {
+    for (const auto *peer : domain_contacts(board)) {
+        auto message = make_heartbeat(board);
+        *message.mutable_heartbeat()->add_states() = state;
+        send_to(actions, *peer, message);
+    }
+}
+
+auto record_status(blackboard &board, const peer_state &peer,
+                   member_status before) -> void {
+    if (peer.info.status == before)
+        return;
+    const auto kind = peer.info.status == member_status::live
+                          ? event_kind::member_joined
+                      : peer.info.status == member_status::leaving
+                          ? event_kind::member_leaving
+                          : event_kind::member_dead;
+    board.events->record(kind, peer.info.name, 0, peer.domain_name);
+}
+
+auto newer(const wire::MemberState &state, const peer_state &peer) -> bool {
+    if (state.incarnation() != peer.incarnation)
+        return state.incarnation() > peer.incarnation;
+    return state.version() > peer.version;
+}
+
+auto apply_state(peer_state &peer, const wire::MemberState &state) -> void {
+    peer.info.id = hash_name(state.name());
+    peer.info.name = state.name();
+    peer.domain_name = state.failure_domain();
+    peer.info.failure_domain = hash_name(state.failure_domain());
+    peer.info.link = {
+        .address = state.address(),
+        .port = static_cast<std::uint16_t>(state.link_port())};
+    peer.info.control = {
+        .address = state.address(),
+        .port = static_cast<std::uint16_t>(state.control_port())};
+    peer.incarnation = state.incarnation();
+    peer.version = state.version();
+    peer.info.status = static_cast<member_status>(state.status());
+    peer.info.synced.assign(state.synced().begin(), state.synced().end());
+    peer.graceful = peer.info.status == member_status::leaving;
+}
+
+// A peer claims that this instance is dead: a higher version refutes it.
+auto refute(blackboard &board, const wire::MemberState &state,
+            time_point now, control_actions &actions) -> void {
+    if (state.incarnation() != board.incarnation ||
+        state.version() < board.version ||
+        static_cast<member_status>(state.status()) == board.self.status)
+        return;
+    board.version = state.version() + 1;
+    announce_self(board, now, actions);
+}
+
+auto merge_state(blackboard &board, const wire::MemberState &state,
+                 std::uint32_t from, time_point now,
+                 control_actions &actions) -> void {
+    if (state.status() > static_cast<std::uint32_t>(member_status::dead) ||
+        state.name().empty())
+        return;
+    const auto id = hash_name(state.name());
+    if (id == board.self.id)
+        return refute(board, state, now, actions);
+    auto &peer = board.peers[id];
+    if (!newer(state, peer))
+        return;
+    // Own ears count for more than hearsay about a neighbour.
+    const auto claims_dead =
+        static_cast<member_status>(state.status()) == member_status::dead;
+    if (claims_dead && from != id &&
+        now - peer.heard < board.options.dead_after)
+        return;
+    const auto before =
+        peer.incarnation == 0 ? member_status::dead : peer.info.status;
+    apply_state(peer, state);
+    if (from == id)
+        peer.heard = now;
+    else if (peer.info.status == member_status::live &&
+             before == member_status::dead)
+        peer.heard = now;
+    record_status(board, peer, before);
+    board.view_stale = true;
+    send_state(board, state, from, actions);
+    if (peer.info.failure_domain == board.self.failure_domain && from == id)
+        send_state_abroad(board, state, actions);
+}
+
+auto note_loads(blackboard &board, const wire::Heartbeat &beat) -> void {
+    for (const auto &it : beat.loads()) {
+        const auto found =
+            board.domain_loads.find({it.service(), it.failure_domain()});
+        if (found == board.domain_loads.end())
+            continue;
+        found->second->open.store(it.open());
+        found->second->known.store(true);
+    }
+}
+
+auto declare_dead(blackboard &board, peer_state &peer, time_point now,
+                  control_actions &actions) -> void {
+    const auto before = peer.info.status;
+    peer.info.status = member_status::dead;
+    peer.silent_since = now;
+    ++peer.version;
+    record_status(board, peer, before);
+    board.view_stale = true;
+    const auto state = describe_peer(peer);
+    send_state(board, state, peer.info.id, actions);
+    send_state_abroad(board, state, actions);
+}
+
+auto judge_silence(blackboard &board, time_point now,
+                   control_actions &actions) -> void {
+    for (auto &[id, peer] : board.peers) {
+        if (peer.info.failure_domain != board.self.failure_domain ||
+            peer.info.status == member_status::dead ||
+            peer.incarnation == 0)
+            continue;
+        if (now - peer.heard > board.options.dead_after)
+            declare_dead(board, peer, now, actions);
+    }
+}
+
+auto judge_domains(blackboard &board, time_point now) -> void {
+    for (const auto &[domain, heard] : board.domain_heard) {
+        const auto cut = now - heard > board.options.domain_cut_after;
+        const auto was_cut = board.cut_domains.contains(domain);
+        if (cut == was_cut)
+            continue;
+        std::string name;
+        for (const auto &[id, it] : board.peers) {
+            if (it.info.failure_domain == domain)
+                name = it.domain_name;
+        }
+        if (cut)
+            board.cut_domains.insert(domain);
+        else
+            board.cut_domains.erase(domain);
+        board.events->record(cut ? event_kind::domain_cut
+                                 : event_kind::domain_healed,
+                             name);
+        board.view_stale = true;
+    }
+}
+
+auto send_heartbeats(blackboard &board, time_point now,
+                     control_actions &actions) -> void {
+    if (now >= board.next_heartbeat) {
+        board.next_heartbeat = now + board.options.heartbeat;
+        const auto beat = make_heartbeat(board);
+        auto greeting = beat;
+        *greeting.mutable_heartbeat()->add_states() = describe_self(board);
+        greeting.mutable_heartbeat()->set_want_state(true);
+        for (const auto *peer : neighbours_of(board))
+            send_to(actions, *peer,
+                    peer->info.status == member_status::dead ? greeting
+                                                             : beat);
+    }
+    if (now < board.next_domain_heartbeat)
+        return;
+    board.next_domain_heartbeat = now + board.options.domain_heartbeat;
+    ++board.domain_rotation;
+    auto beat = make_heartbeat(board);
+    add_loads(board, *beat.mutable_heartbeat());
+    beat.mutable_heartbeat()->set_want_state(true);
+    for (const auto *peer : domain_contacts(board)) {
+        auto message = beat;
+        if (peer->incarnation == 0)
+            *message.mutable_heartbeat()->add_states() =
+                describe_self(board);
+        send_to(actions, *peer, message);
+    }
+    add_all_states(board, *beat.mutable_heartbeat());
+    if (board.peers.empty()) {
+        for (const auto &it : board.seeds)
+            actions.messages.push_back({it, beat});
+    }
+}
+
+auto counts_in_majority(const blackboard &board, const peer_state &peer)
+    -> bool {
+    if (peer.info.failure_domain != board.self.failure_domain ||
+        peer.graceful)
+        return false;
+    if (peer.info.status != member_status::dead)
+        return true;
+    if (!board.balancers_known)
+        return true;
+    const auto it = board.balancers.find(peer.info.name);
+    return it != board.balancers.end() && it->second.state.ready;
+}
+
+} // namespace
+
+auto documents_digest(const blackboard &board) -> std::uint64_t {
+    std::uint64_t digest = 0;
+    for (const auto &[name, it] : board.documents)
+        digest ^= hash_pair(hash_name(name), it.generation);
+    return digest;
+}
+
+auto neighbours_of(const blackboard &board)
+    -> std::vector<const peer_state *> {
+    // The map is ordered by identifier, so that the ring starts behind self.
+    std::vector<const peer_state *> ring;
+    std::vector<const peer_state *> front;
+    for (const auto &[id, it] : board.peers) {
+        if (it.info.failure_domain != board.self.failure_domain ||
+            (it.info.status == member_status::dead && it.graceful))
+            continue;
+        (id > board.self.id ? ring : front).push_back(&it);
+    }
+    ring.insert(ring.end(), front.begin(), front.end());
+    if (ring.size() > board.options.neighbours)
+        ring.resize(board.options.neighbours);
+    return ring;
+}
+
+auto note_heard(blackboard &board, std::uint32_t from, time_point now)
+    -> void {
+    const auto it = board.peers.find(from);
+    if (it == board.peers.end())
+        return;
+    it->second.heard = now;
+    board.domain_heard[it->second.info.failure_domain] = now;
+}
+
+auto on_heartbeat(blackboard &board, const wire::Envelope &message,
+                  time_point now, control_actions &actions) -> void {
+    const auto &beat = message.heartbeat();
+    const auto from = message.from();
+    for (const auto &it : beat.states())
+        merge_state(board, it, from, now, actions);
+    note_loads(board, beat);
+    const auto it = board.peers.find(from);
+    if (it == board.peers.end() || it->second.incarnation == 0)
+        return;
+    auto &peer = it->second;
+    note_heard(board, from, now);
+    for (const auto service : beat.troubled())
+        board.troubled[service] = now;
+    // It was taken for dead, or this instance lacks its latest state.
+    const auto outdated = beat.incarnation() != peer.incarnation ||
+                          beat.version() > peer.version ||
+                          peer.info.status == member_status::dead;
+    const auto views_differ =
+        beat.members_digest() != members_digest(board);
+    if (!beat.want_state() && !outdated && !views_differ)
+        return;
+    if (!beat.want_state() && now < board.next_anti_entropy && !outdated)
+        return;
+    board.next_anti_entropy = now + 2 * board.options.heartbeat;
+    auto reply = make_heartbeat(board);
+    if (outdated || views_differ)
+        add_all_states(board, *reply.mutable_heartbeat());
+    // An answer to an answer would never end.
+    reply.mutable_heartbeat()->set_want_state(outdated &&
+                                              !beat.want_state());
+    send_to(actions, peer, reply);
+}
+
+auto notice_pause(blackboard &board, time_point now,
+                  control_actions &actions) -> void {
+    const auto last = board.last_tick;
+    board.last_tick = now;
+    if (last == time_point{} || now - last < board.options.lease)
+        return;
+    board.gap = std::chrono::duration_cast<milliseconds>(now - last);
+    board.deaf_until = now + drain_after_pause;
+    board.lease->valid_until.store(0);
+    board.paused_services.insert(board.self.synced.begin(),
+                                 board.self.synced.end());
+    board.self.synced.clear();
+    board.syncs.clear();
+    board.sync_jobs.clear();
+    ++board.version;
+    board.view_stale = true;
+    // What was heard before the pause says nothing about now.
+    for (auto &[id, peer] : board.peers)
+        peer.heard = std::max(peer.heard, now - board.options.lease);
+    actions.requests.push_back({.what = worker_request::kind::forget,
+                                .records = {},
+                                .service = {},
+                                .age = board.gap + doubt_before_pause});
+    board.events->record(event_kind::pause_noticed, board.self.name, 0,
+                         std::to_string(board.gap.count()) + " ms");
+}
+
+auto tick_membership(blackboard &board, time_point now,
+                     control_actions &actions) -> void {
+    judge_silence(board, now, actions);
+    judge_domains(board, now);
+    send_heartbeats(board, now, actions);
+}
+
+auto renew_lease(blackboard &board, time_point now) -> void {
+    std::vector<std::pair<time_point, std::uint32_t>> heard{
+        {now, board.self.id}};
+    for (const auto &[id, it] : board.peers) {
+        if (counts_in_majority(board, it))
+            heard.emplace_back(it.heard, id);
+    }
+    for (const auto &[name, it] : board.balancers) {
+        const auto id = hash_name(name);
+        if (it.state.ready && id != board.self.id &&
+            it.failure_domain == board.domain_name &&
+            !board.peers.contains(id))
+            heard.emplace_back(time_point{}, id);
+    }
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    const auto n = heard.size();
+    auto needed = n / 2 + 1;
+    const auto lowest = std::min_element(
+        heard.begin(), heard.end(),
+        [](const auto &left, const auto &right) {
+            return left.second < right.second;
+        });
+    if (n % 2 == 0 &&
+        lowest - heard.begin() < static_cast<std::ptrdiff_t>(n / 2))
+        needed = n / 2;
+    const auto until = heard[needed - 1].first + board.options.lease;
+    board.lease->valid_until.store(until.time_since_epoch().count(),
+                                   std::memory_order_release);
+    const auto held = now < until;
+    if (held != board.lease_was_held) {
+        board.lease_was_held = held;
+        board.events->record(held ? event_kind::lease_held
+                                  : event_kind::lease_lost,
+                             board.self.name);
+    }
+}
+
+auto on_balancers_listed(blackboard &board, time_point now) -> void {
+    for (const auto &[name, it] : board.balancers) {
+        const auto id = hash_name(name);
+        if (id == board.self.id || board.peers.contains(id) ||
+            !it.state.ready)
+            continue;
+        auto &peer = board.peers[id];
+        peer.info.id = id;
+        peer.info.name = name;
+        peer.domain_name = it.failure_domain;
+        peer.info.failure_domain = hash_name(it.failure_domain);
+        peer.info.link = it.link;
+        peer.info.control = it.control;
+        peer.info.status = member_status::dead;
+        peer.silent_since = now;
+    }
+}
+
+auto announce_self(blackboard &board, time_point now,
+                   control_actions &actions) -> void {
+    board.view_stale = true;
+    board.next_heartbeat = now + board.options.heartbeat;
+    const auto state = describe_self(board);
+    send_state(board, state, 0, actions);
+    send_state_abroad(board, state, actions);
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/operator_port.cpp
@@ -0,0 +1,298 @@
+#include "operator_port.hpp"
+
+#include <charconv>
+
+#include <fmt/format.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "documents.hpp"
+#include "health.hpp"
+
+namespace dogwoodtrack {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+auto host_text(std::uint32_t address) -> std::string {
+    const auto text = to_string(endpoint{.address = address, .port = 1});
+    return text.substr(0, text.rfind(':'));
+}
+
+auto status_name(member_status status) -> const char * {
+    switch (status) {
+    case member_status::live:
+        return "live";
+    case member_status::leaving:
+        return "leaving";
+    case member_status::dead:
+        break;
+    }
+    return "dead";
+}
+
+auto counters_json(const control_context &it) -> ordered_json {
+    ordered_json out;
+    for (std::size_t i = 0;
+         i < static_cast<std::size_t>(packet_counter::count_); ++i) {
+        std::uint64_t sum = 0;
+        for (const auto &worker : it.workers)
+            sum += worker->counters.values[i].load();
+        out[std::string(to_string(static_cast<packet_counter>(i)))] = sum;
+    }
+    return out;
+}
+
+auto drops_json(const control_context &it) -> ordered_json {
+    ordered_json out = ordered_json::object();
+    for (std::size_t i = 0; i < static_cast<std::size_t>(drop_kind::count_);
+         ++i) {
+        std::uint64_t sum = 0;
+        for (const auto &worker : it.workers)
+            sum += worker->counters.drops[i].load();
+        if (sum > 0)
+            out[std::string(to_string(static_cast<drop_kind>(i)))] = sum;
+    }
+    return out;
+}
+
+auto open_flows(const control_context &it) -> std::uint64_t {
+    std::uint64_t sum = 0;
+    for (const auto &worker : it.workers)
+        sum += worker->counters.flows.load();
+    return sum;
+}
+
+auto contracts_json(const blackboard &board) -> ordered_json {
+    ordered_json out = ordered_json::object();
+    for (const auto &it : board.contracts)
+        out[it.customer] = it.generation;
+    return out;
+}
+
+auto control_json(const control_context &it) -> ordered_json {
+    const auto &usage = it.channel.usage();
+    return {{"sent_bytes", usage.sent_bytes},
+            {"received_bytes", usage.received_bytes},
+            {"sent_messages", usage.sent_messages},
+            {"received_messages", usage.received_messages},
+            {"broken_messages", it.broken_messages}};
+}
+
+auto status_json(const control_context &it) -> ordered_json {
+    const auto &board = it.board;
+    ordered_json troubled = ordered_json::array();
+    for (const auto &[name, state] : board.conditions) {
+        if (state.set)
+            troubled.push_back({{"service", name},
+                                {"reason", state.reason}});
+    }
+    ordered_json synced = ordered_json::array();
+    for (const auto id : board.self.synced)
+        synced.push_back(id);
+    return {{"instance", board.self.name},
+            {"failure_domain", board.domain_name},
+            {"status", status_name(board.self.status)},
+            {"placing", board.lease->holds(monotonic::now())},
+            {"watching", is_watcher(board)},
+            {"flows", open_flows(it)},
+            {"synced", synced},
+            {"contracts", contracts_json(board)},
+            {"peers", board.peers.size()},
+            {"conditions", troubled},
+            {"counters", counters_json(it)},
+            {"drops", drops_json(it)},
+            {"control", control_json(it)}};
+}
+
+auto instances_json(const control_context &it) -> ordered_json {
+    ordered_json out = ordered_json::array();
+    out.push_back({{"name", it.board.self.name},
+                   {"failure_domain", it.board.domain_name},
+                   {"status", status_name(it.board.self.status)},
+                   {"heard_ms", 0}});
+    const auto now = monotonic::now();
+    for (const auto &[id, peer] : it.board.peers) {
+        const auto silent = std::chrono::duration_cast<milliseconds>(
+            now - peer.heard);
+        out.push_back(
+            {{"name", peer.info.name},
+             {"failure_domain", peer.domain_name},
+             {"status", status_name(peer.info.status)},
+             {"heard_ms", peer.heard == time_point{} ? -1 : silent.count()}});
+    }
+    return out;
+}
+
+auto owner_name(const blackboard &board, std::uint32_t id) -> std::string {
+    if (id == board.self.id)
+        return board.self.name;
+    const auto it = board.peers.find(id);
+    return it == board.peers.end() ? "" : it->second.info.name;
+}
+
+auto upstreams_json(const control_context &it) -> ordered_json {
+    ordered_json out = ordered_json::array();
+    if (!it.board.view)
+        return out;
+    const auto &view = *it.board.view;
+    for (const auto &service : view.services) {
+        for (const auto &domain : service.domains) {
+            for (const auto index : domain.upstreams) {
+                const auto &up = view.upstreams[index];
+                out.push_back(
+                    {{"service", service.customer + "/" + service.name},
+                     {"name", up.name},
+                     {"address", to_string(up.address)},
+                     {"open", up.load->open.load()},
+                     {"limit", up.limit},
+                     {"in_service", up.in_service},
+                     {"weight", up.load->weight.load()},
+                     {"answer_us", up.load->answer_us.load()},
+                     {"owner", owner_name(it.board, domain.owner)},
+                     {"mine", domain.owner == it.board.self.id}});
+            }
+        }
+    }
+    return out;
+}
+
+auto events_json(const control_context &it, std::uint64_t after)
+    -> ordered_json {
+    ordered_json out = ordered_json::array();
+    for (const auto &event : it.board.events->since(after))
+        out.push_back({{"stamp", event.stamp},
+                       {"kind", to_string(event.kind)},
+                       {"instance", event.instance},
+                       {"subject", event.subject},
+                       {"generation", event.generation},
+                       {"detail", event.detail}});
+    return out;
+}
+
+auto config_json(const daemon_options &options) -> ordered_json {
+    return {{"name", options.name},
+            {"failure_domain", options.failure_domain},
+            {"link", to_string(options.link)},
+            {"control", to_string(options.control)},
+            {"operators", to_string(options.operators)},
+            {"fabric", to_string(options.fabric)},
+            {"platform", to_string(options.platform)},
+            {"flow_capacity", options.flow_capacity},
+            {"workers", options.workers}};
+}
+
+auto prometheus_text(control_context &it) -> std::string {
+    std::string out;
+    const auto counters = counters_json(it);
+    for (const auto &[name, value] : counters.items())
+        out += fmt::format("dogwoodtrack_{}_total {}\n", name,
+                           value.get<std::uint64_t>());
+    const auto drops = drops_json(it);
+    for (const auto &[name, value] : drops.items())
+        out += fmt::format("dogwoodtrack_drops_total{{kind=\"{}\"}} {}\n",
+                           name, value.get<std::uint64_t>());
+    out += fmt::format("dogwoodtrack_flows {}\n", open_flows(it));
+    const auto &usage = it.channel.usage();
+    out += fmt::format("dogwoodtrack_control_sent_bytes_total {}\n"
+                       "dogwoodtrack_control_received_bytes_total {}\n",
+                       usage.sent_bytes, usage.received_bytes);
+    metric_set all;
+    all.merge(it.metrics);
+    for (const auto &worker : it.workers)
+        all.merge(worker->metrics);
+    return out + all.to_prometheus();
+}
+
+auto apply_fault(control_context &it, const std::string &body) -> bool {
+    const auto wanted = nlohmann::json::parse(body, nullptr, false);
+    if (!wanted.is_object())
+        return false;
+    std::vector<std::uint32_t> addresses;
+    for (const auto &one : wanted.value("cut", nlohmann::json::array())) {
+        auto parsed = parse_endpoint(one.get<std::string>() + ":1");
+        if (!parsed)
+            return false;
+        addresses.push_back(parsed.value().address);
+    }
+    it.faults.set(addresses, wanted.value("platform", false));
+    return true;
+}
+
+} // namespace
+
+struct operator_port::state {
+    explicit state(control_context &context) : control(context) {
+    }
+
+    control_context &control;
+    httplib::Server server;
+    std::thread thread;
+
+    auto answer(const char *path,
+                std::function<std::string(const httplib::Request &)> make,
+                const char *type = "application/json") -> void {
+        server.Get(path, [this, make = std::move(make),
+                          type](const httplib::Request &request,
+                                httplib::Response &response) {
+            std::string body;
+            ask_control(control, [&] { body = make(request); });
+            response.set_content(body, type);
+        });
+    }
+
+    auto add_routes() -> void {
+        auto &it = control;
+        answer("/status", [&](const auto &) { return status_json(it).dump(); });
+        answer("/instances",
+               [&](const auto &) { return instances_json(it).dump(); });
+        answer("/upstreams",
+               [&](const auto &) { return upstreams_json(it).dump(); });
+        answer("/config",
+               [&](const auto &) { return config_json(it.options).dump(); });
+        answer("/timeline", [&](const httplib::Request &request) {
+            const auto text = request.get_param_value("after");
+            std::uint64_t after = 0;
+            std::from_chars(text.data(), text.data() + text.size(), after);
+            return events_json(it, after).dump();
+        });
+        answer("/metrics",
+               [&](const auto &) { return prometheus_text(it); },
+               "text/plain; version=0.0.4");
+        if (!it.options.fault_injection)
+            return;
+        server.Post("/fault", [&](const httplib::Request &request,
+                                  httplib::Response &response) {
+            response.status = apply_fault(it, request.body) ? 200 : 400;
+        });
+    }
+};
+
+operator_port::operator_port(std::unique_ptr<state> s)
+    : state_(std::move(s)) {
+}
+
+operator_port::~operator_port() {
+    state_->server.stop();
+    if (state_->thread.joinable())
+        state_->thread.join();
+}
+
+auto operator_port::open(control_context &control)
+    -> result<std::unique_ptr<operator_port>> {
+    auto s = std::make_unique<state>(control);
+    s->server.new_task_queue = [] { return new httplib::ThreadPool(2); };
+    s->server.set_keep_alive_max_count(1);
+    s->add_routes();
+    const auto &address = control.options.operators;
+    if (!s->server.bind_to_port(host_text(address.address), address.port))
+        return error{error_kind::socket_failed,
+                     "bind on " + to_string(address)};
+    s->thread = std::thread([raw = s.get()] {
+        raw->server.listen_after_bind();
+    });
+    return std::unique_ptr<operator_port>(new operator_port(std::move(s)));
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/platform_client.cpp
@@ -0,0 +1,217 @@
+#include "dogwoodtrack/platform_client.hpp"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace dogwoodtrack {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr const char *json_type = "application/json";
+constexpr const char *change_annotation = "dogwoodtrack.io/change-id";
+constexpr int read_back_tries = 10;
+constexpr milliseconds read_back_pause{300};
+
+auto path_of(platform_resource resource) -> std::string {
+    return resource == platform_resource::contracts
+               ? "/apis/dogwoodtrack.io/v1/namespaces/default/contracts"
+               : "/apis/discovery.k8s.io/v1/namespaces/default/"
+                 "endpointslices";
+}
+
+auto to_object(platform_resource resource, const json &value)
+    -> platform_object {
+    const auto meta = value.value("metadata", json::object());
+    platform_object object{
+        .name = meta.value("name", ""),
+        .resource_version = meta.value("resourceVersion", ""),
+        .generation = meta.value("generation", std::uint64_t{0}),
+        .change_id = meta.value("annotations", json::object())
+                         .value(change_annotation, "")};
+    if (resource == platform_resource::contracts) {
+        object.spec_json = value.value("spec", json::object()).dump();
+        object.status_json = value.value("status", json::object()).dump();
+    } else {
+        auto body = value;
+        body.erase("metadata");
+        object.spec_json = body.dump();
+    }
+    return object;
+}
+
+auto host_of(const endpoint &address) -> std::string {
+    const auto text = to_string(address);
+    return text.substr(0, text.rfind(':'));
+}
+
+auto make_client(const platform_options &options, milliseconds read)
+    -> httplib::Client {
+    httplib::Client client(host_of(options.address), options.address.port);
+    client.set_connection_timeout(options.timeout);
+    client.set_read_timeout(read);
+    client.set_write_timeout(options.timeout);
+    client.set_default_headers({{"User-Agent", options.client_name}});
+    return client;
+}
+
+auto unreachable(const httplib::Result &answer) -> error {
+    return {error_kind::platform_unreachable,
+            httplib::to_string(answer.error())};
+}
+
+auto refused(const httplib::Response &answer) -> error {
+    const auto kind = answer.status == 404
+                          ? error_kind::platform_not_found
+                      : answer.status == 409
+                          ? error_kind::contract_conflict
+                          : error_kind::platform_refused;
+    return {kind, "the platform answered " + std::to_string(answer.status) +
+                      " " + answer.body.substr(0, 200)};
+}
+
+auto contract_json(const platform_object &object) -> json {
+    json value{{"apiVersion", "dogwoodtrack.io/v1"},
+               {"kind", "Contract"},
+               {"metadata",
+                {{"name", object.name},
+                 {"annotations", {{change_annotation, object.change_id}}}}},
+               {"spec", json::parse(object.spec_json)}};
+    if (!object.resource_version.empty())
+        value["metadata"]["resourceVersion"] = object.resource_version;
+    return value;
+}
+
+// Feeds whole lines to `handle` and keeps the rest.
+auto consume_lines(std::string &pending, const char *data, std::size_t size,
+                   const std::function<void(const json &)> &handle) -> void {
+    pending.append(data, size);
+    std::size_t start = 0;
+    for (auto end = pending.find('\n'); end != std::string::npos;
+         end = pending.find('\n', start)) {
+        const auto event = json::parse(pending.begin() + start,
+                                       pending.begin() + end, nullptr, false);
+        if (event.is_object())
+            handle(event);
+        start = end + 1;
+    }
+    pending.erase(0, start);
+}
+
+} // namespace
+
+platform_client::platform_client(platform_options options)
+    : options_(std::move(options)) {
+}
+
+auto platform_client::list(platform_resource resource) const
+    -> result<platform_list> {
+    auto client = make_client(options_, options_.timeout);
+    const auto answer = client.Get(path_of(resource));
+    if (!answer)
+        return unreachable(answer);
+    if (answer->status != 200)
+        return refused(*answer);
+    const auto body = json::parse(answer->body, nullptr, false);
+    if (!body.is_object())
+        return error{error_kind::platform_refused, "the list is not JSON"};
+    platform_list found{.resource_version =
+                            body.value("metadata", json::object())
+                                .value("resourceVersion", ""),
+                        .objects = {}};
+    for (const auto &it : body.value("items", json::array()))
+        found.objects.push_back(to_object(resource, it));
+    return found;
+}
+
+auto platform_client::get(platform_resource resource,
+                          const std::string &name) const
+    -> result<platform_object> {
+    auto client = make_client(options_, options_.timeout);
+    const auto answer = client.Get(path_of(resource) + "/" + name);
+    if (!answer)
+        return unreachable(answer);
+    if (answer->status != 200)
+        return refused(*answer);
+    const auto body = json::parse(answer->body, nullptr, false);
+    if (!body.is_object())
+        return error{error_kind::platform_refused, "the object is not JSON"};
+    return to_object(resource, body);
+}
+
+auto platform_client::watch(
+    platform_resource resource, std::string &version,
+    const std::function<void(const platform_object &)> &changed,
+    const std::atomic<bool> &stop) const -> watch_end {
+    auto client = make_client(options_, options_.watch_timeout);
+    std::string pending;
+    auto expired = false;
+    const auto on_event = [&](const json &event) {
+        const auto type = event.value("type", "");
+        const auto object = event.value("object", json::object());
+        if (type == "ERROR") {
+            expired = true;
+            return;
+        }
+        version = object.value("metadata", json::object())
+                      .value("resourceVersion", version);
+        if (type == "ADDED" || type == "MODIFIED")
+            changed(to_object(resource, object));
+    };
+    const auto answer = client.Get(
+        path_of(resource) + "?watch=1&allowWatchBookmarks=true"
+                            "&resourceVersion=" +
+            version,
+        [&](const char *data, std::size_t size) {
+            consume_lines(pending, data, size, on_event);
+            return !stop && !expired;
+        });
+    if (expired || (answer && answer->status == 410))
+        return watch_end::expired;
+    return answer ? watch_end::closed : watch_end::unreachable;
+}
+
+auto platform_client::put_contract(const platform_object &object) const
+    -> result<platform_object> {
+    auto client = make_client(options_, options_.timeout);
+    const auto create = object.resource_version.empty();
+    const auto path = path_of(platform_resource::contracts) +
+                      (create ? "" : "/" + object.name);
+    const auto body = contract_json(object).dump();
+    const auto answer = create ? client.Post(path, body, json_type)
+                               : client.Put(path, body, json_type);
+    if (answer && (answer->status == 200 || answer->status == 201))
+        return to_object(platform_resource::contracts,
+                         json::parse(answer->body));
+    if (answer && answer->status < 500)
+        return refused(*answer);
+    // The write may have taken effect although its answer was lost.
+    for (int i = 0; i < read_back_tries; ++i) {
+        auto current = get(platform_resource::contracts, object.name);
+        if (current && current.value().change_id == object.change_id)
+            return current;
+        if (current && !answer)
+            return unreachable(answer);
+        std::this_thread::sleep_for(read_back_pause);
+    }
+    return answer ? refused(*answer) : unreachable(answer);
+}
+
+auto platform_client::put_status(const std::string &name,
+                                 const std::string &status_json) const
+    -> result<void> {
+    auto client = make_client(options_, options_.timeout);
+    const json body{{"metadata", {{"name", name}}},
+                    {"status", json::parse(status_json)}};
+    const auto answer = client.Put(
+        path_of(platform_resource::contracts) + "/" + name + "/status",
+        body.dump(), json_type);
+    if (!answer)
+        return unreachable(answer);
+    if (answer->status != 200)
+        return refused(*answer);
+    return boost::outcome_v2::success();
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/platform_feed.cpp
@@ -0,0 +1,157 @@
+#include "platform_feed.hpp"
+
+#include <algorithm>
+
+#include "documents.hpp"
+
+namespace dogwoodtrack {
+
+namespace {
+
+constexpr milliseconds pause_between_looks{50};
+constexpr milliseconds backoff_least{200};
+constexpr milliseconds backoff_most{2000};
+
+} // namespace
+
+platform_feed::platform_feed(platform_options options, timeline &events,
+                             const std::atomic<bool> &blocked)
+    : client_(std::move(options)), events_(events), blocked_(blocked) {
+    threads_.emplace_back(
+        [this] { follow(platform_resource::contracts); });
+    threads_.emplace_back(
+        [this] { follow(platform_resource::endpoint_slices); });
+    threads_.emplace_back([this] { write_statuses(); });
+}
+
+platform_feed::~platform_feed() {
+    stop_ = true;
+    for (auto &it : threads_)
+        it.join();
+}
+
+auto platform_feed::take() -> std::vector<platform_document> {
+    const std::lock_guard lock(mutex_);
+    std::vector<platform_document> taken(arrived_.begin(), arrived_.end());
+    arrived_.clear();
+    return taken;
+}
+
+auto platform_feed::set_watching(bool watching) -> void {
+    watching_ = watching;
+}
+
+auto platform_feed::write_status(const std::string &customer,
+                                 const std::string &json) -> void {
+    const std::lock_guard lock(mutex_);
+    std::erase_if(statuses_,
+                  [&](const auto &it) { return it.first == customer; });
+    statuses_.emplace_back(customer, json);
+}
+
+auto platform_feed::deliver(platform_resource resource,
+                            const platform_object &object) -> void {
+    const auto *prefix = resource == platform_resource::contracts
+                             ? contract_prefix
+                             : live_prefix;
+    const std::lock_guard lock(mutex_);
+    arrived_.push_back({.name = prefix + object.name,
+                        .generation = object.generation,
+                        .json = object.spec_json,
+                        .change_id = object.change_id});
+}
+
+auto platform_feed::note_reachable(bool reachable) -> void {
+    if (reachable_.exchange(reachable) == reachable)
+        return;
+    events_.record(reachable ? event_kind::platform_back
+                             : event_kind::platform_lost,
+                   "platform");
+}
+
+auto platform_feed::read_list(platform_resource resource,
+                              std::string &version) -> bool {
+    if (blocked_) {
+        note_reachable(false);
+        return false;
+    }
+    auto found = client_.list(resource);
+    note_reachable(found.has_value());
+    if (!found)
+        return false;
+    version = found.value().resource_version;
+    for (const auto &it : found.value().objects)
+        deliver(resource, it);
+    return true;
+}
+
+// Reads the list once; a watcher reads it again whenever its watch cannot
+// go on from where it was.
+auto platform_feed::follow(platform_resource resource) -> void {
+    std::string version;
+    auto listed = false;
+    auto fresh = false;
+    auto backoff = backoff_least;
+    while (!stop_) {
+        if (listed && !watching_) {
+            fresh = false;
+            std::this_thread::sleep_for(pause_between_looks);
+            continue;
+        }
+        if (!fresh) {
+            fresh = read_list(resource, version);
+            listed = listed || fresh;
+            backoff = fresh ? backoff_least
+                            : std::min(backoff_most, backoff * 2);
+        }
+        if (!fresh) {
+            for (auto left = backoff; left.count() > 0 && !stop_;
+                 left -= pause_between_looks)
+                std::this_thread::sleep_for(pause_between_looks);
+            continue;
+        }
+        if (!watching_)
+            continue;
+        const auto end = client_.watch(
+            resource, version,
+            [&](const platform_object &it) {
+                if (!blocked_)
+                    deliver(resource, it);
+            },
+            stop_);
+        // A closed stream goes on from its version; anything else lists.
+        fresh = end == watch_end::closed && !blocked_;
+    }
+}
+
+auto platform_feed::write_statuses() -> void {
+    while (!stop_) {
+        std::pair<std::string, std::string> next;
+        {
+            const std::lock_guard lock(mutex_);
+            if (!statuses_.empty()) {
+                next = statuses_.front();
+                statuses_.erase(statuses_.begin());
+            }
+        }
+        if (next.first.empty()) {
+            std::this_thread::sleep_for(pause_between_looks);
+            continue;
+        }
+        const auto written =
+            !blocked_ && client_.put_status(next.first, next.second);
+        if (written)
+            continue;
+        std::this_thread::sleep_for(backoff_least);
+        const std::lock_guard lock(mutex_);
+        const auto newer =
+            std::any_of(statuses_.begin(), statuses_.end(),
+                        [&](const auto &it) {
+                            return it.first == next.first;
+                        });
+        if (!newer)
+            statuses_.push_back(next);
+    }
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/platform_feed.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "dogwoodtrack/platform_client.hpp"
+#include "dogwoodtrack/timeline.hpp"
+
+namespace dogwoodtrack {
+
+/// A document as it comes from the platform.
+struct platform_document {
+    std::string name;
+    std::uint64_t generation = 0;
+    std::string json;
+    std::string change_id;
+};
+
+/// Reads contracts and instance lists from the platform: once at the start,
+/// and by watches while this instance is a watcher. Writes statuses. All
+/// public methods are thread safe.
+class platform_feed {
+public:
+    platform_feed(platform_options options, timeline &events,
+                  const std::atomic<bool> &blocked);
+    platform_feed(const platform_feed &) = delete;
+    auto operator=(const platform_feed &) -> platform_feed & = delete;
+    /// Stops the threads; a watch ends with its next line or timeout.
+    ~platform_feed();
+
+    /// Documents that arrived since the last call.
+    auto take() -> std::vector<platform_document>;
+
+    /// Makes this instance a watcher or an ordinary reader.
+    auto set_watching(bool watching) -> void;
+
+    /// Queues a status; the latest one of each customer is written.
+    auto write_status(const std::string &customer, const std::string &json)
+        -> void;
+
+private:
+    auto follow(platform_resource resource) -> void;
+    auto read_list(platform_resource resource, std::string &version) -> bool;
+    auto deliver(platform_resource resource, const platform_object &object)
+        -> void;
+    auto note_reachable(bool reachable) -> void;
+    auto write_statuses() -> void;
+
+    platform_client client_;
+    timeline &events_;
+    const std::atomic<bool> &blocked_;
+    std::atomic<bool> stop_{false};
+    std::atomic<bool> watching_{false};
+    std::atomic<bool> reachable_{true};
+    std::mutex mutex_;
+    std::deque<platform_document> arrived_;
+    std::vector<std::pair<std::string, std::string>> statuses_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libdogwoodtrack/view_builder.cpp
@@ -0,0 +1,186 @@
+#include "view_builder.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack {
+
+namespace {
+
+auto load_for(blackboard &board, const endpoint &address, transport protocol)
+    -> std::shared_ptr<upstream_load> {
+    auto &slot = board.loads[route_key(address, protocol)];
+    if (!slot)
+        slot = std::make_shared<upstream_load>();
+    return slot;
+}
+
+// The contract and the platform's list may each take an upstream out of
+// service; own observation only lowers its weight.
+auto takes_new_flows(const blackboard &board, const upstream_terms &terms)
+    -> bool {
+    if (terms.leaving)
+        return false;
+    const auto it = board.listed.find(terms.address);
+    return it == board.listed.end() || !it->second.terminating;
+}
+
+auto domain_for(blackboard &board, service_route &service, std::uint32_t id)
+    -> domain_route & {
+    for (auto &it : service.domains) {
+        if (it.failure_domain == id)
+            return it;
+    }
+    auto &load = board.domain_loads[{service.id, id}];
+    if (!load)
+        load = std::make_shared<domain_load>();
+    service.domains.push_back({.failure_domain = id, .load = load});
+    return service.domains.back();
+}
+
+auto add_upstream(blackboard &board, routing_view &view,
+                  service_route &service, const service_terms &terms,
+                  const upstream_terms &it) -> void {
+    const auto index = static_cast<std::uint32_t>(view.upstreams.size());
+    const auto domain_id = hash_name(it.failure_domain);
+    auto &domain = domain_for(board, service, domain_id);
+    domain.upstreams.push_back(index);
+    const auto in_service = takes_new_flows(board, it);
+    if (!it.leaving)
+        domain.capacity += it.capacity;
+    view.by_upstream[route_key(it.address, terms.protocol)] = index;
+    view.upstreams.push_back(
+        {.name = it.name,
+         .address = it.address,
+         .id = hash_name(to_string(it.address)),
+         .service = static_cast<std::uint32_t>(view.services.size()),
+         .failure_domain = domain_id,
+         .capacity = it.capacity,
+         .limit = terms.limit == limit_kind::slots ? it.slots
+                                                   : it.connections,
+         .in_service = in_service,
+         .load = load_for(board, it.address, terms.protocol)});
+}
+
+auto is_reachable(const blackboard &board,
+                  const std::vector<member> &members, std::uint32_t domain)
+    -> bool {
+    if (domain != board.self.failure_domain &&
+        board.cut_domains.contains(domain))
+        return false;
+    return std::any_of(members.begin(), members.end(),
+                       [&](const member &it) {
+                           return it.failure_domain == domain &&
+                                  it.status != member_status::dead;
+                       });
+}
+
+auto name_of(const blackboard &board, std::uint32_t id) -> std::string {
+    if (id == board.self.id)
+        return board.self.name;
+    const auto it = board.peers.find(id);
+    return it == board.peers.end() ? "none" : it->second.info.name;
+}
+
+auto note_owner(blackboard &board, const service_route &service,
+                domain_route &domain, time_point now) -> void {
+    const std::pair key{service.id, domain.failure_domain};
+    const auto known = board.owners.find(key);
+    if (known != board.owners.end() && known->second == domain.owner) {
+        domain.owned_since = board.owned_since[key];
+        return;
+    }
+    board.owners[key] = domain.owner;
+    board.owned_since[key] = now;
+    domain.owned_since = now;
+    if (domain.failure_domain == board.self.failure_domain)
+        board.events->record(event_kind::owner_changed,
+                             service.customer + "/" + service.name, 0,
+                             name_of(board, domain.owner));
+}
+
+auto add_service(blackboard &board, routing_view &view,
+                 const std::vector<member> &members, const contract &owner,
+                 const service_terms &terms, time_point now) -> void {
+    service_route service{.id = service_id(owner.customer, terms.name),
+                          .customer = owner.customer,
+                          .name = terms.name,
+                          .address = terms.address,
+                          .protocol = terms.protocol,
+                          .overload = terms.overload,
+                          .idempotent = terms.idempotent,
+                          .imbalance_tolerance = terms.imbalance_tolerance,
+                          .replicas = terms.replicas,
+                          .idle_timeout = terms.idle_timeout,
+                          .domains = {}};
+    for (const auto &it : terms.upstreams)
+        add_upstream(board, view, service, terms, it);
+    for (auto &domain : service.domains) {
+        domain.reachable =
+            is_reachable(board, members, domain.failure_domain);
+        assign_owner(members, service, domain);
+        note_owner(board, service, domain, now);
+    }
+    view.by_service[route_key(terms.address, terms.protocol)] =
+        static_cast<std::uint32_t>(view.services.size());
+    view.services.push_back(std::move(service));
+}
+
+auto add_links(const blackboard &board, routing_view &view) -> void {
+    for (const auto &[id, it] : board.peers) {
+        if (it.info.status == member_status::dead ||
+            board.cut_domains.contains(it.info.failure_domain))
+            continue;
+        view.links[id] = it.info.link;
+    }
+}
+
+} // namespace
+
+auto send_to(control_actions &actions, const peer_state &peer,
+             wire::Envelope message) -> void {
+    actions.messages.push_back({peer.info.control, std::move(message)});
+}
+
+auto all_members(const blackboard &board) -> std::vector<member> {
+    std::vector<member> members{board.self};
+    members.reserve(board.peers.size() + 1);
+    for (const auto &[id, it] : board.peers) {
+        if (it.incarnation != 0)
+            members.push_back(it.info);
+    }
+    return members;
+}
+
+auto service_by_id(const blackboard &board, std::uint32_t id)
+    -> const service_route * {
+    if (!board.view)
+        return nullptr;
+    for (const auto &it : board.view->services) {
+        if (it.id == id)
+            return &it;
+    }
+    return nullptr;
+}
+
+auto is_synced(const blackboard &board, std::uint32_t service) -> bool {
+    const auto &list = board.self.synced;
+    return std::find(list.begin(), list.end(), service) != list.end();
+}
+
+auto rebuild_view(blackboard &board, time_point now) -> void {
+    auto view = std::make_shared<routing_view>();
+    view->self = board.self.id;
+    view->failure_domain = board.self.failure_domain;
+    const auto members = all_members(board);
+    for (const auto &it : board.contracts) {
+        if (it.withdrawn)
+            continue;
+        for (const auto &service : it.services)
+            add_service(board, *view, members, it, service, now);
+    }
+    add_links(board, *view);
+    board.view = std::move(view);
+    board.view_stale = false;
+}
+
+} // namespace dogwoodtrack
--- /dev/null
+++ b/src/libstandin/platform_standin.cpp
@@ -0,0 +1,369 @@
+#include "platform_standin.hpp"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace dogwoodtrack::standin {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t event_limit = 5000;
+constexpr std::size_t server_threads = 300;
+constexpr milliseconds bookmark_interval{1000};
+constexpr const char *contracts_path =
+    "/apis/dogwoodtrack.io/v1/namespaces/default/contracts";
+constexpr const char *slices_path =
+    "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices";
+constexpr const char *json_type = "application/json";
+
+struct stored_object {
+    json now;
+    json before; ///< what a stale read shows
+};
+
+struct stored_event {
+    std::uint64_t version = 0;
+    std::string type;
+    json object;
+};
+
+struct collection {
+    std::map<std::string, stored_object> objects;
+    std::deque<stored_event> events;
+};
+
+auto fail(httplib::Response &response, int status, const std::string &why)
+    -> void {
+    response.status = status;
+    response.set_content(json{{"kind", "Status"},
+                              {"status", "Failure"},
+                              {"code", status},
+                              {"message", why}}
+                             .dump(),
+                         json_type);
+}
+
+} // namespace
+
+struct platform_standin::state {
+    httplib::Server server;
+    std::thread thread;
+    mutable std::mutex mutex;
+    std::condition_variable changed;
+    platform_faults faults;
+    platform_usage usage;
+    std::uint64_t version = 1;
+    std::map<std::string, collection> collections;
+    std::atomic<bool> stopping{false};
+    std::chrono::steady_clock::time_point second_start{};
+    unsigned calls_this_second = 0;
+
+    auto admit(httplib::Response &response) -> bool;
+    auto store(collection &all, const std::string &name, json object,
+               bool new_generation) -> json;
+    auto list(const std::string &path, httplib::Response &response) -> void;
+    auto watch(const std::string &path, std::uint64_t from,
+               httplib::Response &response) -> void;
+    auto write(const std::string &path, const std::string &name,
+               const httplib::Request &request, httplib::Response &response)
+        -> void;
+    auto write_status(const std::string &name,
+                      const httplib::Request &request,
+                      httplib::Response &response) -> void;
+    auto answer_write(httplib::Response &response, const json &object)
+        -> void;
+    auto next_events(const std::string &path, std::uint64_t &from)
+        -> std::string;
+    auto add_routes(const std::string &path) -> void;
+};
+
+// A delayed, refused or failing call ends here.
+auto platform_standin::state::admit(httplib::Response &response) -> bool {
+    platform_faults now;
+    auto limited = false;
+    {
+        const std::lock_guard lock(mutex);
+        now = faults;
+        const auto time = std::chrono::steady_clock::now();
+        if (time - second_start > seconds{1}) {
+            second_start = time;
+            calls_this_second = 0;
+        }
+        ++calls_this_second;
+        limited = now.calls_per_second > 0 &&
+                  calls_this_second > now.calls_per_second;
+    }
+    if (now.delay.count() > 0)
+        std::this_thread::sleep_for(now.delay);
+    if (now.outage)
+        fail(response, 503, "the platform is down");
+    else if (limited)
+        fail(response, 429, "too many calls");
+    return !now.outage && !limited;
+}
+
+auto platform_standin::state::store(collection &all, const std::string &name,
+                                    json object, bool new_generation)
+    -> json {
+    auto &slot = all.objects[name];
+    const auto created = slot.now.is_null();
+    const auto generation =
+        created ? 0
+                : slot.now["metadata"]["generation"].get<std::uint64_t>();
+    ++version;
+    object["metadata"]["name"] = name;
+    object["metadata"]["resourceVersion"] = std::to_string(version);
+    object["metadata"]["generation"] = generation + (new_generation ? 1 : 0);
+    slot.before = created ? object : slot.now;
+    slot.now = object;
+    all.events.push_back({.version = version,
+                          .type = created ? "ADDED" : "MODIFIED",
+                          .object = object});
+    if (all.events.size() > event_limit)
+        all.events.pop_front();
+    changed.notify_all();
+    return object;
+}
+
+auto platform_standin::state::list(const std::string &path,
+                                   httplib::Response &response) -> void {
+    const std::lock_guard lock(mutex);
+    ++usage.lists;
+    json items = json::array();
+    for (const auto &[name, it] : collections[path].objects)
+        items.push_back(faults.stale_reads ? it.before : it.now);
+    response.set_content(
+        json{{"kind", "List"},
+             {"metadata", {{"resourceVersion", std::to_string(version)}}},
+             {"items", items}}
+            .dump(),
+        json_type);
+}
+
+// Waits for events after `from`; an empty wait gives a bookmark.
+auto platform_standin::state::next_events(const std::string &path,
+                                          std::uint64_t &from)
+    -> std::string {
+    std::unique_lock lock(mutex);
+    const auto &events = collections[path].events;
+    changed.wait_for(lock, bookmark_interval, [&] {
+        return stopping || faults.outage ||
+               (!events.empty() && events.back().version > from);
+    });
+    if (stopping || faults.outage)
+        return {};
+    std::string lines;
+    for (const auto &it : events) {
+        if (it.version <= from)
+            continue;
+        lines += json{{"type", it.type}, {"object", it.object}}.dump() + "\n";
+        from = it.version;
+    }
+    if (lines.empty()) {
+        from = std::max(from, version);
+        lines = json{{"type", "BOOKMARK"},
+                     {"object",
+                      {{"metadata",
+                        {{"resourceVersion", std::to_string(from)}}}}}}
+                    .dump() +
+                "\n";
+    }
+    return lines;
+}
+
+auto platform_standin::state::watch(const std::string &path,
+                                    std::uint64_t from,
+                                    httplib::Response &response) -> void {
+    {
+        const std::lock_guard lock(mutex);
+        ++usage.watches;
+        const auto &events = collections[path].events;
+        if (events.size() == event_limit && from < events.front().version)
+            return fail(response, 410, "resourceVersion is too old");
+    }
+    response.set_chunked_content_provider(
+        json_type,
+        [this, path, from](std::size_t, httplib::DataSink &sink) mutable {
+            const auto lines = next_events(path, from);
+            if (lines.empty())
+                return false;
+            return sink.write(lines.data(), lines.size());
+        });
+}
+
+auto platform_standin::state::answer_write(httplib::Response &response,
+                                           const json &object) -> void {
+    if (faults.lose_answers > 0) {
+        --faults.lose_answers;
+        return fail(response, 504, "the answer was lost");
+    }
+    response.set_content(object.dump(), json_type);
+}
+
+auto platform_standin::state::write(const std::string &path,
+                                    const std::string &name,
+                                    const httplib::Request &request,
+                                    httplib::Response &response) -> void {
+    const auto body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+        return fail(response, 400, "the body is not JSON");
+    const auto meta = body.value("metadata", json::object());
+    const auto target = name.empty() ? meta.value("name", "") : name;
+    if (target.empty())
+        return fail(response, 422, "metadata.name is missing");
+    const std::lock_guard lock(mutex);
+    ++usage.writes;
+    auto &all = collections[path];
+    const auto it = all.objects.find(target);
+    const auto exists = it != all.objects.end();
+    if (name.empty() && exists)
+        return fail(response, 409, "the object exists");
+    if (!name.empty() && !exists)
+        return fail(response, 404, "no such object");
+    if (exists && meta.value("resourceVersion", "") !=
+                      it->second.now["metadata"]["resourceVersion"])
+        return fail(response, 409, "the object has been modified");
+    auto object = body;
+    if (exists)
+        object["status"] = it->second.now.value("status", json());
+    answer_write(response, store(all, target, object, true));
+}
+
+auto platform_standin::state::write_status(const std::string &name,
+                                           const httplib::Request &request,
+                                           httplib::Response &response)
+    -> void {
+    const auto body = json::parse(request.body, nullptr, false);
+    const std::lock_guard lock(mutex);
+    ++usage.status_writes;
+    auto &all = collections[contracts_path];
+    const auto it = all.objects.find(name);
+    if (it == all.objects.end() || !body.is_object())
+        return fail(response, 404, "no such object");
+    auto object = it->second.now;
+    object["status"] = body.value("status", json());
+    answer_write(response, store(all, name, object, false));
+}
+
+auto platform_standin::state::add_routes(const std::string &path) -> void {
+    server.Get(path, [this, path](const httplib::Request &request,
+                                  httplib::Response &response) {
+        if (!admit(response))
+            return;
+        if (!request.has_param("watch"))
+            return list(path, response);
+        const auto from = request.get_param_value("resourceVersion");
+        watch(path, std::strtoull(from.c_str(), nullptr, 10), response);
+    });
+    server.Get(path + "/([^/]+)", [this, path](
+                                      const httplib::Request &request,
+                                      httplib::Response &response) {
+        if (!admit(response))
+            return;
+        const std::lock_guard lock(mutex);
+        ++usage.gets;
+        const auto &objects = collections[path].objects;
+        const auto it = objects.find(request.matches[1]);
+        if (it == objects.end())
+            return fail(response, 404, "no such object");
+        const auto &shown =
+            faults.stale_reads ? it->second.before : it->second.now;
+        response.set_content(shown.dump(), json_type);
+    });
+    server.Post(path, [this, path](const httplib::Request &request,
+                                   httplib::Response &response) {
+        if (admit(response))
+            write(path, "", request, response);
+    });
+    server.Put(path + "/([^/]+)", [this, path](
+                                      const httplib::Request &request,
+                                      httplib::Response &response) {
+        if (admit(response))
+            write(path, request.matches[1], request, response);
+    });
+    server.Put(path + "/([^/]+)/status",
+               [this](const httplib::Request &request,
+                      httplib::Response &response) {
+                   if (admit(response))
+                       write_status(request.matches[1], request, response);
+               });
+}
+
+platform_standin::platform_standin(std::unique_ptr<state> s)
+    : state_(std::move(s)) {
+}
+
+platform_standin::~platform_standin() {
+    state_->stopping = true;
+    state_->changed.notify_all();
+    state_->server.stop();
+    if (state_->thread.joinable())
+        state_->thread.join();
+}
+
+auto platform_standin::open(const endpoint &address)
+    -> result<std::unique_ptr<platform_standin>> {
+    auto s = std::make_unique<state>();
+    s->server.new_task_queue = [] {
+        return new httplib::ThreadPool(server_threads);
+    };
+    s->server.set_keep_alive_max_count(1);
+    s->add_routes(contracts_path);
+    s->add_routes(slices_path);
+    const auto text = to_string(address);
+    if (!s->server.bind_to_port(text.substr(0, text.rfind(':')),
+                                address.port))
+        return error{error_kind::socket_failed, "bind on " + text};
+    s->thread =
+        std::thread([raw = s.get()] { raw->server.listen_after_bind(); });
+    return std::unique_ptr<platform_standin>(
+        new platform_standin(std::move(s)));
+}
+
+auto platform_standin::set_faults(const platform_faults &faults) -> void {
+    const std::lock_guard lock(state_->mutex);
+    state_->faults = faults;
+    state_->changed.notify_all();
+}
+
+auto platform_standin::usage() const -> platform_usage {
+    const std::lock_guard lock(state_->mutex);
+    return state_->usage;
+}
+
+auto platform_standin::put_slice(const std::string &name,
+                                 const std::string &body_json) -> void {
+    const std::lock_guard lock(state_->mutex);
+    state_->store(state_->collections[slices_path], name,
+                  json::parse(body_json), true);
+}
+
+auto platform_standin::contract_generation(const std::string &name) const
+    -> std::uint64_t {
+    const std::lock_guard lock(state_->mutex);
+    const auto &objects = state_->collections[contracts_path].objects;
+    const auto it = objects.find(name);
+    return it == objects.end()
+               ? 0
+               : it->second.now["metadata"]["generation"]
+                     .get<std::uint64_t>();
+}
+
+auto platform_standin::contract_status(const std::string &name) const
+    -> std::string {
+    const std::lock_guard lock(state_->mutex);
+    const auto &objects = state_->collections[contracts_path].objects;
+    const auto it = objects.find(name);
+    return it == objects.end() ? "null"
+                               : it->second.now.value("status", json()).dump();
+}
+
+} // namespace dogwoodtrack::standin
--- /dev/null
+++ b/src/libstandin/platform_standin.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "dogwoodtrack/types.hpp"
+
+namespace dogwoodtrack::standin {
+
+/// How the platform misbehaves.
+struct platform_faults {
+    bool outage = false;        ///< every call fails, watches end
+    milliseconds delay{0};      ///< before each answer
+    unsigned lose_answers = 0;  ///< writes that take effect unanswered
+    bool stale_reads = false;   ///< reads show the version before the last
+    unsigned calls_per_second = 0; ///< further calls get 429; 0: no limit
+};
+
+/// Calls the platform has served, as its owner would count them.
+struct platform_usage {
+    std::uint64_t lists = 0;
+    std::uint64_t gets = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t watches = 0;
+    std::uint64_t status_writes = 0;
+};
+
+/// A small stand-in of the platform's object API over HTTP: objects with
+/// versions and generations, conditional updates, watches with bookmarks.
+/// All methods are thread safe.
+class platform_standin {
+public:
+    /// Listens on `address`. Fails with `error_kind::socket_failed`.
+    static auto open(const endpoint &address)
+        -> result<std::unique_ptr<platform_standin>>;
+    ~platform_standin();
+
+    auto set_faults(const platform_faults &faults) -> void;
+    auto usage() const -> platform_usage;
+
+    /// Writes an endpoint slice as the platform itself would.
+    auto put_slice(const std::string &name, const std::string &body_json)
+        -> void;
+
+    /// Generation of a contract, 0 if there is none.
+    auto contract_generation(const std::string &name) const -> std::uint64_t;
+
+    /// Status of a contract as JSON, `null` if none was written.
+    auto contract_status(const std::string &name) const -> std::string;
+
+private:
+    struct state;
+    explicit platform_standin(std::unique_ptr<state> s);
+    std::unique_ptr<state> state_;
+};
+
+} // namespace dogwoodtrack::standin
--- /dev/null
+++ b/src/libstandin/process.cpp
@@ -0,0 +1,124 @@
+#include "process.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <boost/process.hpp>
+#include <unistd.h>
+
+namespace dogwoodtrack::standin {
+
+namespace {
+
+namespace bp = boost::process;
+
+auto seconds_of(const std::string &stat) -> double {
+    // The command name may hold spaces; the fields follow its bracket.
+    std::istringstream fields(stat.substr(stat.rfind(')') + 2));
+    std::string skipped;
+    constexpr int fields_before_time = 11;
+    for (int i = 0; i < fields_before_time; ++i)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+auto read_file(const std::string &path) -> std::string {
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+auto rss_of(const std::string &root) -> std::uint64_t {
+    std::istringstream fields(read_file(root + "/statm"));
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    fields >> total >> resident;
+    return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+struct process::state {
+    bp::child child;
+    bool ended_by_signal = false;
+};
+
+process::process(std::unique_ptr<state> s) : state_(std::move(s)) {
+}
+
+process::~process() {
+    if (running())
+        kill();
+}
+
+auto process::start(const std::string &program,
+                    const std::vector<std::string> &arguments,
+                    const std::string &log_path)
+    -> result<std::unique_ptr<process>> {
+    auto s = std::make_unique<state>();
+    std::error_code ec;
+    s->child = bp::child(program, bp::args(arguments),
+                         bp::std_err > log_path, bp::std_out > bp::null,
+                         bp::std_in < bp::null, ec);
+    if (ec)
+        return error{error_kind::scenario_invalid,
+                     "cannot start " + program + ": " + ec.message()};
+    return std::unique_ptr<process>(new process(std::move(s)));
+}
+
+auto process::terminate() -> void {
+    ::kill(id(), SIGTERM);
+}
+
+auto process::kill() -> void {
+    state_->ended_by_signal = true;
+    ::kill(id(), SIGKILL);
+    std::error_code ec;
+    state_->child.wait(ec);
+}
+
+auto process::pause() -> void {
+    ::kill(id(), SIGSTOP);
+}
+
+auto process::resume() -> void {
+    ::kill(id(), SIGCONT);
+}
+
+auto process::running() -> bool {
+    std::error_code ec;
+    return state_->child.running(ec);
+}
+
+auto process::exit_code() -> int {
+    if (running() || state_->ended_by_signal)
+        return -1;
+    return state_->child.exit_code();
+}
+
+auto process::id() const -> int {
+    return state_->child.id();
+}
+
+auto process::usage() const -> process_usage {
+    process_usage usage;
+    const auto root = "/proc/" + std::to_string(id());
+    std::error_code ec;
+    for (const auto &task :
+         std::filesystem::directory_iterator(root + "/task", ec)) {
+        const auto stat = read_file(task.path() / "stat");
+        if (stat.empty())
+            continue;
+        const auto worker = stat.find("(worker") != std::string::npos;
+        (worker ? usage.worker_seconds : usage.control_seconds) +=
+            seconds_of(stat);
+    }
+    usage.rss_bytes = rss_of(root);
+    return usage;
+}
+
+} // namespace dogwoodtrack::standin
--- /dev/null
+++ b/src/libstandin/traffic.cpp
@@ -0,0 +1,306 @@
+#include "traffic.hpp"
+
+#include <atomic>
+#include <cstring>
+#include <mutex>
+#include <thread>
+
+#include "endpoints.hpp"
+
+namespace dogwoodtrack::standin {
+
+namespace {
+
+constexpr milliseconds receive_wait{1};
+constexpr int batches_per_turn = 32;
+
+auto choose_balancer(endpoints &it, const std::string &side)
+    -> const balancer_target * {
+    double total = 0;
+    for (const auto &one : it.balancers) {
+        if (one.receives && (side.empty() || one.failure_domain == side))
+            total += one.weight;
+    }
+    auto left =
+        std::uniform_real_distribution<double>(0, total)(it.random);
+    const balancer_target *chosen = nullptr;
+    for (const auto &one : it.balancers) {
+        if (!one.receives || !(side.empty() || one.failure_domain == side))
+            continue;
+        chosen = &one;
+        left -= one.weight;
+        if (left < 0)
+            break;
+    }
+    return chosen;
+}
+
+auto happens(endpoints &it, double probability) -> bool {
+    return probability > 0 && std::uniform_real_distribution<double>(
+                                  0, 1)(it.random) < probability;
+}
+
+auto send_now(endpoints &it, const outgoing &packet) -> void {
+    const auto *balancer = choose_balancer(it, packet.side);
+    if (balancer == nullptr)
+        return;
+    packet_buffer buf;
+    const auto index =
+        static_cast<std::uint16_t>(balancer - it.balancers.data());
+    const auto outer = build_packet(
+        buf, {.protocol = packet.protocol,
+              .source = packet.source,
+              .destination = packet.destination,
+              .tcp_flags = packet.flags,
+              .sequence = packet.sequence,
+              .acknowledgement = packet.acknowledgement,
+              .identification = index,
+              .payload = packet.payload});
+    ++it.report.packets_sent;
+    it.socket.send_copy(balancer->link, outer);
+}
+
+auto take_packet(endpoints &it, std::span<std::uint8_t> outer,
+                 const endpoint &from, clock_point now) -> void {
+    static const mac_key no_key{};
+    auto outcome = parse_packet(outer, no_key);
+    if (!outcome.packet) {
+        // ICMP says that the first datagram was refused.
+        if (outcome.reason == drop_kind::foreign_protocol)
+            ++it.report.flows_refused;
+        else if (outcome.reason == drop_kind::bad_checksum)
+            ++it.report.bad_checksums;
+        return;
+    }
+    const auto &inner = outcome.packet->inner;
+    if (!transport_checksum_valid(inner)) {
+        ++it.report.bad_checksums;
+        return;
+    }
+    const auto upstream =
+        it.upstream_index.find(number_of(inner.destination));
+    if (upstream != it.upstream_index.end())
+        return upstream_receives(it, upstream->second, inner, from, now);
+    caller_receives(it, inner, now);
+}
+
+auto send_delayed(endpoints &it, clock_point now) -> void {
+    while (!it.delayed.empty() && it.delayed.top().when <= now) {
+        const auto &packet = it.delayed.top();
+        const auto *balancer = choose_balancer(it, packet.side);
+        if (balancer != nullptr) {
+            ++it.report.packets_sent;
+            it.socket.send_copy(balancer->link, packet.outer);
+        }
+        it.delayed.pop();
+    }
+}
+
+} // namespace
+
+auto spray(endpoints &it, const outgoing &packet) -> void {
+    if (happens(it, it.faults.loss))
+        return;
+    if (happens(it, it.faults.duplicate))
+        send_now(it, packet);
+    auto when = packet.when;
+    if (it.faults.reorder.count() > 0) {
+        const auto extra = std::uniform_int_distribution<int>(
+            0, static_cast<int>(it.faults.reorder.count()))(it.random);
+        when = std::max(when, std::chrono::steady_clock::now()) +
+               milliseconds(extra);
+    }
+    if (when == clock_point{})
+        return send_now(it, packet);
+    packet_buffer buf;
+    const auto outer = build_packet(
+        buf, {.protocol = packet.protocol,
+              .source = packet.source,
+              .destination = packet.destination,
+              .tcp_flags = packet.flags,
+              .sequence = packet.sequence,
+              .acknowledgement = packet.acknowledgement,
+              .identification = 0xffff,
+              .payload = packet.payload});
+    it.delayed.push(
+        {when, {outer.begin(), outer.end()}, packet.side});
+}
+
+auto number_of(const endpoint &value) -> std::uint64_t {
+    return (static_cast<std::uint64_t>(value.address) << 16) | value.port;
+}
+
+auto read_header(std::span<const std::uint8_t> payload,
+                 payload_header &header) -> bool {
+    if (payload.size() < sizeof header)
+        return false;
+    std::memcpy(&header, payload.data(), sizeof header);
+    return header.magic == request_magic || header.magic == answer_magic;
+}
+
+struct traffic::state {
+    explicit state(link opened, std::uint64_t seed)
+        : all(std::move(opened), seed) {
+    }
+
+    endpoints all;
+    mutable std::mutex mutex;
+    std::atomic<bool> stop{false};
+    std::atomic<int> waiting{0};
+    std::thread thread;
+
+    auto run() -> void {
+        while (!stop) {
+            // Others get their turn: this thread would take the lock again
+            // at once.
+            while (waiting > 0)
+                std::this_thread::yield();
+            const std::lock_guard lock(mutex);
+            auto wait = receive_wait;
+            for (int i = 0; i < batches_per_turn; ++i) {
+                auto batch = all.socket.receive(wait);
+                wait = milliseconds{0};
+                const auto now = std::chrono::steady_clock::now();
+                for (std::size_t k = 0; k < batch.size(); ++k)
+                    take_packet(all, batch[k].view(),
+                                all.socket.source_of(k), now);
+                drive_callers(all, now);
+                send_delayed(all, now);
+                sample_imbalance(all, now);
+                all.socket.flush();
+                if (batch.empty())
+                    break;
+            }
+        }
+    }
+
+    auto locked() const -> std::unique_lock<std::mutex> {
+        auto &count = const_cast<std::atomic<int> &>(waiting);
+        ++count;
+        std::unique_lock lock(mutex);
+        --count;
+        return lock;
+    }
+};
+
+traffic::traffic(std::unique_ptr<state> s) : state_(std::move(s)) {
+}
+
+traffic::~traffic() {
+    state_->stop = true;
+    state_->thread.join();
+}
+
+auto traffic::open(const endpoint &fabric, std::uint64_t seed)
+    -> result<std::unique_ptr<traffic>> {
+    auto socket = link::open(fabric, false);
+    if (!socket)
+        return socket.error();
+    auto s = std::make_unique<state>(std::move(socket.value()), seed);
+    s->thread = std::thread([raw = s.get()] { raw->run(); });
+    return std::unique_ptr<traffic>(new traffic(std::move(s)));
+}
+
+auto traffic::add_service(const service_profile &service) -> std::size_t {
+    const auto lock = state_->locked();
+    state_->all.services.push_back(service);
+    return state_->all.services.size() - 1;
+}
+
+auto traffic::set_upstream(const upstream_profile &upstream) -> void {
+    const auto lock = state_->locked();
+    auto &it = state_->all;
+    const auto [slot, fresh] = it.upstream_index.try_emplace(
+        number_of(upstream.address), it.upstreams.size());
+    if (fresh)
+        it.upstreams.push_back({.profile = upstream});
+    else
+        it.upstreams[slot->second].profile = upstream;
+}
+
+auto traffic::set_balancer(const balancer_target &balancer) -> void {
+    const auto lock = state_->locked();
+    for (auto &it : state_->all.balancers) {
+        if (it.name == balancer.name) {
+            it = balancer;
+            return;
+        }
+    }
+    state_->all.balancers.push_back(balancer);
+}
+
+auto traffic::set_faults(const fabric_faults &faults) -> void {
+    const auto lock = state_->locked();
+    state_->all.faults = faults;
+}
+
+auto traffic::add_flows(const flow_profile &flows) -> void {
+    const auto lock = state_->locked();
+    state_->all.sources.push_back(
+        {.profile = flows, .next = std::chrono::steady_clock::now()});
+}
+
+auto traffic::stop_opening() -> void {
+    const auto lock = state_->locked();
+    for (auto &it : state_->all.sources)
+        it.active = false;
+}
+
+auto traffic::mark_leaving(const std::string &upstream, milliseconds limit)
+    -> void {
+    const auto lock = state_->locked();
+    for (auto &it : state_->all.upstreams) {
+        if (it.profile.name != upstream)
+            continue;
+        it.leaving = true;
+        it.leaving_since = std::chrono::steady_clock::now() + limit;
+    }
+}
+
+auto traffic::unmark_leaving(const std::string &upstream) -> void {
+    const auto lock = state_->locked();
+    for (auto &it : state_->all.upstreams) {
+        if (it.profile.name == upstream)
+            it.leaving = false;
+    }
+}
+
+auto traffic::measure_imbalance(std::size_t service) -> void {
+    const auto lock = state_->locked();
+    auto &it = state_->all;
+    it.measuring = true;
+    it.measured_service = service;
+    it.imbalance_sum = 0;
+    it.imbalance_samples = 0;
+    it.report.imbalance_mean = 0;
+    it.report.imbalance_peak = 0;
+}
+
+auto traffic::stop_measuring() -> void {
+    const auto lock = state_->locked();
+    state_->all.measuring = false;
+}
+
+auto traffic::report() const -> traffic_report {
+    const auto lock = state_->locked();
+    auto report = state_->all.report;
+    report.open_flows = state_->all.flows.size();
+    return report;
+}
+
+auto traffic::open_at(const std::string &upstream) const -> std::uint32_t {
+    const auto lock = state_->locked();
+    for (const auto &it : state_->all.upstreams) {
+        if (it.profile.name == upstream)
+            return it.open;
+    }
+    return 0;
+}
+
+auto traffic::reset_relay_counts() -> void {
+    const auto lock = state_->locked();
+    state_->all.report.midflow_packets = 0;
+    state_->all.report.midflow_relayed = 0;
+}
+
+} // namespace dogwoodtrack::standin
--- /dev/null
+++ b/testsuite/places.lua
@@ -0,0 +1,72 @@
+-- Scenes that the cases share: the places and services of both customers.
+
+local places = {}
+
+places.brunner_domains = {"mitte-a", "mitte-b", "mitte-c"}
+places.shantiniketan_domains = {"salt-lake", "howrah", "behala"}
+places.capacities = {0.5, 1, 2, 1, 0.7, 1.5, 1, 1, 2, 0.5, 1, 1.3, 0.8, 1}
+
+function places.instances(domains, per_domain)
+    for _, domain in ipairs(domains) do
+        for i = 1, per_domain do
+            instance(domain .. "-" .. i, domain)
+        end
+    end
+end
+
+-- Brunner: ordering on 14 hosts, pickup lists on 4.
+function places.brunner(options)
+    options = options or {}
+    places.instances(places.brunner_domains, options.per_domain or 3)
+    service{customer = "brunner", name = "ordering",
+            imbalance_tolerance = options.tolerance or 0.02,
+            limit = options.limit or "connections",
+            overload = options.overload or "place",
+            idle_timeout = options.idle_timeout or 14400,
+            replicas = options.replicas or 2}
+    upstreams{service = "ordering", count = options.hosts or 14,
+              domains = places.brunner_domains,
+              capacity = options.capacities or places.capacities,
+              connections = options.connections or 2000, slots = 3}
+    service{customer = "brunner", name = "pickup",
+            imbalance_tolerance = options.tolerance or 0.02,
+            replicas = options.replicas or 2}
+    upstreams{service = "pickup", count = 4,
+              domains = places.brunner_domains,
+              connections = options.connections or 2000}
+end
+
+-- Shantiniketan: booking on 14 hosts, memorial records on 4.
+function places.shantiniketan(options)
+    options = options or {}
+    places.instances(places.shantiniketan_domains, options.per_domain or 3)
+    service{customer = "shantiniketan", name = "booking",
+            imbalance_tolerance = options.tolerance or 0.05,
+            protocol = options.protocol or "tcp",
+            idle_timeout = options.idle_timeout or 14400,
+            replicas = options.replicas or 2}
+    upstreams{service = "booking", count = 14,
+              domains = places.shantiniketan_domains,
+              capacity = places.capacities,
+              connections = options.connections or 2000}
+    service{customer = "shantiniketan", name = "memorial",
+            imbalance_tolerance = options.tolerance or 0.05,
+            replicas = options.replicas or 2}
+    upstreams{service = "memorial", count = 4,
+              domains = places.shantiniketan_domains,
+              connections = options.connections or 2000}
+end
+
+-- What holds in every trial, whatever fails.
+function places.always()
+    expect("packets_misdelivered", "==", 0)
+    expect("answers_mixed", "==", 0)
+    expect("payloads_duplicated", "==", 0)
+    expect("refused_but_run", "==", 0)
+    expect("refused_midflow", "==", 0)
+    expect("contract_reverts", "==", 0)
+    expect("capacity_exceeded", "==", 0)
+    expect("bad_checksums", "==", 0)
+end
+
+return places
