--- a/src/dogwoodtrack-scenario/script.cpp
+++ b/src/dogwoodtrack-scenario/script.cpp
@@ -99,8 +99,7 @@
 auto string_argument(lua_State *lua, int index) -> std::string {
     const auto *value = lua_tostring(lua, index);
     if (value == nullptr)
-        throw scenario_problem{
-            fmt::format("argument {} is not a text", index)};
+        throw scenario_problem{fmt::format("argument {} is not a text", index)};
     return value;
 }
 
@@ -268,6 +267,11 @@
     return 1;
 }
 
+auto say_counted_at(lua_State *lua, session &play) -> int {
+    lua_pushinteger(lua, play.counted_at(string_argument(lua, 1)));
+    return 1;
+}
+
 auto say_lag(lua_State *lua, session &play) -> int {
     play.set_lag(string_argument(lua, 1), number_argument(lua, 2));
     return 0;
@@ -309,48 +313,47 @@
 
 auto say_check(lua_State *lua, session &) -> int {
     if (lua_toboolean(lua, 1) == 0)
-        state_of(lua).outcome.failures.push_back(
-            fmt::format("line {}: {}", current_line(lua),
-                        lua_isnoneornil(lua, 2) ? "check failed"
-                                                : lua_tostring(lua, 2)));
+        state_of(lua).outcome.failures.push_back(fmt::format(
+            "line {}: {}", current_line(lua),
+            lua_isnoneornil(lua, 2) ? "check failed" : lua_tostring(lua, 2)));
     return 0;
 }
 
-constexpr luaL_Reg words[] = {
-    {"instance", guarded<say_instance>},
-    {"service", guarded<say_service>},
-    {"upstreams", guarded<say_upstreams>},
-    {"start", guarded<say_start>},
-    {"run", guarded<say_run>},
-    {"drain", guarded<say_drain>},
-    {"wait_for", guarded<say_wait_for>},
-    {"stop", guarded<say_stop>},
-    {"kill", guarded<say_kill>},
-    {"pause", guarded<say_pause>},
-    {"resume", guarded<say_resume>},
-    {"join", guarded<say_join>},
-    {"stopped", guarded<say_stopped>},
-    {"flows", guarded<say_flows>},
-    {"stop_opening", guarded<say_stop_opening>},
-    {"store", guarded<say_store>},
-    {"fabric", guarded<say_fabric>},
-    {"upstream", guarded<say_upstream>},
-    {"leave", guarded<say_leave>},
-    {"cut", guarded<say_cut>},
-    {"heal", guarded<say_heal>},
-    {"measure", guarded<say_measure>},
-    {"apply", guarded<say_apply>},
-    {"race", guarded<say_race>},
-    {"in_force", guarded<say_in_force>},
-    {"owner", guarded<say_owner>},
-    {"open_at", guarded<say_open_at>},
-    {"lag", guarded<say_lag>},
-    {"status", guarded<say_status>},
-    {"events", guarded<say_events>},
-    {"value", guarded<say_value>},
-    {"expect", guarded<say_expect>},
-    {"check", guarded<say_check>},
-    {nullptr, nullptr}};
+constexpr luaL_Reg words[] = {{"instance", guarded<say_instance>},
+                              {"service", guarded<say_service>},
+                              {"upstreams", guarded<say_upstreams>},
+                              {"start", guarded<say_start>},
+                              {"run", guarded<say_run>},
+                              {"drain", guarded<say_drain>},
+                              {"wait_for", guarded<say_wait_for>},
+                              {"stop", guarded<say_stop>},
+                              {"kill", guarded<say_kill>},
+                              {"pause", guarded<say_pause>},
+                              {"resume", guarded<say_resume>},
+                              {"join", guarded<say_join>},
+                              {"stopped", guarded<say_stopped>},
+                              {"flows", guarded<say_flows>},
+                              {"stop_opening", guarded<say_stop_opening>},
+                              {"store", guarded<say_store>},
+                              {"fabric", guarded<say_fabric>},
+                              {"upstream", guarded<say_upstream>},
+                              {"leave", guarded<say_leave>},
+                              {"cut", guarded<say_cut>},
+                              {"heal", guarded<say_heal>},
+                              {"measure", guarded<say_measure>},
+                              {"apply", guarded<say_apply>},
+                              {"race", guarded<say_race>},
+                              {"in_force", guarded<say_in_force>},
+                              {"owner", guarded<say_owner>},
+                              {"open_at", guarded<say_open_at>},
+                              {"counted_at", guarded<say_counted_at>},
+                              {"lag", guarded<say_lag>},
+                              {"status", guarded<say_status>},
+                              {"events", guarded<say_events>},
+                              {"value", guarded<say_value>},
+                              {"expect", guarded<say_expect>},
+                              {"check", guarded<say_check>},
+                              {nullptr, nullptr}};
 
 auto open_lua(script_state *state, const std::string &path) -> lua_State * {
     auto *lua = luaL_newstate();
--- a/src/dogwoodtrack-scenario/session.cpp
+++ b/src/dogwoodtrack-scenario/session.cpp
@@ -50,12 +50,10 @@
 auto require_known(const json &terms, const char *word,
                    std::initializer_list<const char *> known) -> void {
     for (const auto &it : terms.items()) {
-        const auto matches = [&](const char *name) {
-            return it.key() == name;
-        };
+        const auto matches = [&](const char *name) { return it.key() == name; };
         if (std::none_of(known.begin(), known.end(), matches))
-            throw scenario_problem{fmt::format("{} does not know '{}'", word,
-                                               it.key())};
+            throw scenario_problem{
+                fmt::format("{} does not know '{}'", word, it.key())};
     }
 }
 
@@ -80,8 +78,8 @@
     return fleet_->network();
 }
 
-auto session::add_instance(const std::string &name,
-                           const std::string &domain) -> void {
+auto session::add_instance(const std::string &name, const std::string &domain)
+    -> void {
     check(fleet_->add_member(name, domain));
     domains_[name] = domain;
 }
@@ -93,22 +91,22 @@
                    "idle_timeout", "leave_within"});
     scenario_service it{.customer = text(terms, "service", "customer"),
                         .name = text(terms, "service", "name")};
-    const endpoint address{
-        .address = service_network + 1 +
-                   static_cast<std::uint32_t>(services_.size()),
-        .port = 443};
+    const endpoint address{.address =
+                               service_network + 1 +
+                               static_cast<std::uint32_t>(services_.size()),
+                           .port = 443};
     const auto protocol = terms.value("protocol", "tcp");
-    it.terms = {{"name", it.name},
-                {"address", to_string(address)},
-                {"protocol", protocol},
-                {"limit", terms.value("limit", "connections")},
-                {"overload", terms.value("overload", "place")},
-                {"idempotent", terms.value("idempotent", false)},
-                {"imbalanceTolerance",
-                 terms.value("imbalance_tolerance", 0.05)},
-                {"replicas", terms.value("replicas", 2)},
-                {"idleTimeoutSeconds", terms.value("idle_timeout", 14400)},
-                {"leaveWithinSeconds", terms.value("leave_within", 3)}};
+    it.terms = {
+        {"name", it.name},
+        {"address", to_string(address)},
+        {"protocol", protocol},
+        {"limit", terms.value("limit", "connections")},
+        {"overload", terms.value("overload", "place")},
+        {"idempotent", terms.value("idempotent", false)},
+        {"imbalanceTolerance", terms.value("imbalance_tolerance", 0.05)},
+        {"replicas", terms.value("replicas", 2)},
+        {"idleTimeoutSeconds", terms.value("idle_timeout", 14400)},
+        {"leaveWithinSeconds", terms.value("leave_within", 3)}};
     it.index = network().add_service(
         {.customer = it.customer,
          .name = it.name,
@@ -122,8 +120,7 @@
                   {"service", "count", "domains", "capacity", "connections",
                    "slots", "service_ms"});
     auto &service = find_service(text(terms, "upstreams", "service"));
-    const auto domains =
-        terms.at("domains").get<std::vector<std::string>>();
+    const auto domains = terms.at("domains").get<std::vector<std::string>>();
     const auto count = terms.value("count", 1);
     for (int i = 0; i < count; ++i) {
         const auto number = service.upstreams.size();
@@ -149,10 +146,9 @@
              .customer = service.customer,
              .service = service.index,
              .capacity = capacity,
-             .limit = service.terms["limit"] == "slots" ? slots
-                                                        : connections,
-             .service_time = milliseconds(static_cast<int>(
-                 pick(terms, "service_ms", i, 1)))});
+             .limit = service.terms["limit"] == "slots" ? slots : connections,
+             .service_time = milliseconds(
+                 static_cast<int>(pick(terms, "service_ms", i, 1)))});
         network().set_upstream(service.upstreams.back());
     }
 }
@@ -278,8 +274,7 @@
     std::vector<std::string> names;
     for (const auto &name : fleet_->names()) {
         const auto &it = *fleet_->member(name);
-        if (it.running && it.running->running() &&
-            !paused_.contains(name))
+        if (it.running && it.running->running() && !paused_.contains(name))
             names.push_back(name);
     }
     return names;
@@ -325,24 +320,20 @@
         if (now() >= next_look_)
             look_at_daemons();
         std::this_thread::sleep_for(
-            std::min<std::chrono::steady_clock::duration>(step,
-                                                          end - now()));
+            std::min<std::chrono::steady_clock::duration>(step, end - now()));
     }
 }
 
 auto session::drain(double duration) -> void {
     cost_ = fleet_->cost();
     network().stop_opening();
-    wait_for(duration,
-             [this] { return network().report().open_flows == 0; });
+    wait_for(duration, [this] { return network().report().open_flows == 0; });
 }
 
 auto session::stop_instance(const std::string &name) -> void {
     need_instance(name);
     fleet_->stop_member(name);
-    later(fabric_lag_, [this, name] {
-        fleet_->fabric_uses(name, false, 0);
-    });
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, false, 0); });
     later(live_lag_, [this] { fleet_->publish_balancers(); });
     later(live_lag_ + 5, [this, name] {
         if (!fleet_->member(name)->running->running())
@@ -356,9 +347,7 @@
     collect_events();
     fleet_->kill_member(name);
     seen_.erase(name);
-    later(fabric_lag_, [this, name] {
-        fleet_->fabric_uses(name, false, 0);
-    });
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, false, 0); });
     later(live_lag_ + 1, [this] { fleet_->publish_balancers(); });
 }
 
@@ -384,13 +373,11 @@
     seen_.erase(name);
     check(fleet_->start_member(name));
     later(live_lag_, [this] { fleet_->publish_balancers(); });
-    const auto started = wait_for(
-        5, [&] { return !fleet_->ask(name, "/status").empty(); });
+    const auto started =
+        wait_for(5, [&] { return !fleet_->ask(name, "/status").empty(); });
     if (!started)
         throw scenario_problem{name + " does not start"};
-    later(fabric_lag_, [this, name] {
-        fleet_->fabric_uses(name, true, 1);
-    });
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, true, 1); });
 }
 
 auto session::has_stopped(const std::string &name) -> bool {
@@ -419,9 +406,9 @@
 }
 
 auto session::set_store(const json &faults) -> void {
-    require_known(faults, "store",
-                  {"outage", "delay", "lose_answers", "stale_reads",
-                   "calls_per_second"});
+    require_known(
+        faults, "store",
+        {"outage", "delay", "lose_answers", "stale_reads", "calls_per_second"});
     fleet_->platform().set_faults(
         {.outage = faults.value("outage", false),
          .delay = to_ms(faults.value("delay", 0.0)),
@@ -444,11 +431,10 @@
 }
 
 auto session::set_upstream(const json &change) -> void {
-    require_known(change, "upstream",
-                  {"name", "down", "shedding", "service_ms", "capacity",
-                   "connections"});
-    const auto [service, it] =
-        find_upstream(text(change, "upstream", "name"));
+    require_known(
+        change, "upstream",
+        {"name", "down", "shedding", "service_ms", "capacity", "connections"});
+    const auto [service, it] = find_upstream(text(change, "upstream", "name"));
     it->down = change.value("down", it->down);
     it->shedding = change.value("shedding", it->shedding);
     it->service_time = milliseconds(
@@ -524,8 +510,7 @@
             continue;
         const auto contracts =
             status_of(name).value("contracts", json::object());
-        if (contracts.value(customer, std::uint64_t{0}) <
-            written_[customer])
+        if (contracts.value(customer, std::uint64_t{0}) < written_[customer])
             return false;
     }
     return true;
@@ -534,8 +519,7 @@
 auto session::apply(const std::string &customer, double patience) -> void {
     write_contract(customer);
     const auto start = now();
-    const auto done =
-        wait_for(patience, [&] { return in_force(customer); });
+    const auto done = wait_for(patience, [&] { return in_force(customer); });
     const std::chrono::duration<double, std::milli> spent = now() - start;
     in_force_ms_max_ = std::max(in_force_ms_max_, spent.count());
     if (!done)
@@ -569,8 +553,8 @@
     return taken;
 }
 
-auto session::owner_of(const std::string &service,
-                       const std::string &domain) -> std::string {
+auto session::owner_of(const std::string &service, const std::string &domain)
+    -> std::string {
     const auto &it = find_service(service);
     for (const auto &name : reachable_names()) {
         if (domains_[name] != domain)
@@ -588,6 +572,20 @@
     return "";
 }
 
+auto session::counted_at(const std::string &upstream) -> int {
+    for (const auto &name : reachable_names()) {
+        const auto rows =
+            json::parse(fleet_->ask(name, "/upstreams"), nullptr, false);
+        if (!rows.is_array())
+            continue;
+        for (const auto &row : rows) {
+            if (row["name"] == upstream && row["mine"] == true)
+                return row["open"];
+        }
+    }
+    return -1;
+}
+
 auto session::set_lag(const std::string &which, double lag) -> void {
     (which == "live" ? live_lag_ : fabric_lag_) = lag;
 }
@@ -599,9 +597,8 @@
         if (!list.is_array())
             continue;
         for (const auto &it : list)
-            events_[fmt::format("{:020}{}",
-                                it["stamp"].get<std::uint64_t>(), name)] =
-                it;
+            events_[fmt::format("{:020}{}", it["stamp"].get<std::uint64_t>(),
+                                name)] = it;
     }
 }
 
@@ -625,11 +622,10 @@
     const auto seen = network().report();
     if (cost_.rss_bytes == 0)
         cost_ = fleet_->cost();
-    const auto share =
-        seen.midflow_packets == 0
-            ? 0.0
-            : static_cast<double>(seen.midflow_relayed) /
-                  static_cast<double>(seen.midflow_packets);
+    const auto share = seen.midflow_packets == 0
+                           ? 0.0
+                           : static_cast<double>(seen.midflow_relayed) /
+                                 static_cast<double>(seen.midflow_packets);
     return {{"flows_opened", seen.flows_opened},
             {"flows_established", seen.flows_established},
             {"flows_finished", seen.flows_finished},
@@ -658,8 +654,7 @@
             {"control_bytes_per_second_max", cost_.bytes_per_second},
             {"control_cpu_fraction_max", cost_.cpu_fraction},
             {"daemon_rss_bytes_max", cost_.rss_bytes},
-            {"conditions_reported",
-             fleet_->platform().usage().status_writes}};
+            {"conditions_reported", fleet_->platform().usage().status_writes}};
 }
 
 auto session::value_of(const std::string &measure) -> double {
--- a/src/dogwoodtrack-scenario/session.hpp
+++ b/src/dogwoodtrack-scenario/session.hpp
@@ -62,8 +62,7 @@
     auto add_upstreams(const json &terms) -> void;
     auto start() -> void;
     auto run(double duration) -> void;
-    auto wait_for(double duration, const std::function<bool()> &ready)
-        -> bool;
+    auto wait_for(double duration, const std::function<bool()> &ready) -> bool;
     auto drain(double duration) -> void;
 
     auto stop_instance(const std::string &name) -> void;
@@ -92,6 +91,8 @@
     auto in_force(const std::string &customer) -> bool;
     auto owner_of(const std::string &service, const std::string &domain)
         -> std::string;
+    /// Open flows of an upstream as its owner counts them, -1 without owner.
+    auto counted_at(const std::string &upstream) -> int;
     auto status_of(const std::string &name) -> json;
     auto events_named(const std::string &kind) -> int;
 
--- /dev/null
+++ b/src/dogwoodtrack/contract_commands.cpp
@@ -0,0 +1,267 @@
+#include "commands.hpp"
+
+#include <fstream>
+#include <iterator>
+#include <thread>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include "dogwoodtrack/contract.hpp"
+#include "dogwoodtrack/platform_client.hpp"
+#include "dogwoodtrack/timeline.hpp"
+
+namespace dogwoodtrack::tool {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds force_patience{10'000};
+constexpr milliseconds force_step{50};
+
+auto open_platform(const tool_settings &settings) -> result<platform_client> {
+    BOOST_OUTCOME_TRY(auto address, parse_endpoint(settings.platform));
+    return platform_client({.address = address, .client_name = "dogwoodtrack"});
+}
+
+auto read_file(const std::string &path) -> result<std::string> {
+    std::ifstream in(path);
+    if (!in)
+        return error{error_kind::bad_contract,
+                     "the file " + path + " cannot be read"};
+    return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+auto parse_others(const std::vector<platform_object> &objects)
+    -> std::vector<contract> {
+    std::vector<contract> others;
+    for (const auto &it : objects) {
+        auto parsed = parse_contract(it.name, it.generation, it.spec_json);
+        if (parsed)
+            others.push_back(std::move(parsed.value()));
+    }
+    return others;
+}
+
+struct checked_contract {
+    contract value;
+    std::string spec_json;
+};
+
+auto check_file(const std::string &customer, const std::string &file)
+    -> result<checked_contract> {
+    BOOST_OUTCOME_TRY(auto text, read_file(file));
+    BOOST_OUTCOME_TRY(auto value, parse_contract(customer, 0, text));
+    return checked_contract{.value = std::move(value),
+                            .spec_json = std::move(text)};
+}
+
+auto print_warnings(const contract &value) -> void {
+    for (const auto &it : contract_warnings(value))
+        fmt::print(stderr, "warning: {}\n", it);
+}
+
+auto find_object(const std::vector<platform_object> &all,
+                 const std::string &name) -> const platform_object * {
+    for (const auto &it : all) {
+        if (it.name == name)
+            return &it;
+    }
+    return nullptr;
+}
+
+auto check_against(const checked_contract &next,
+                   const std::vector<platform_object> &all,
+                   const apply_settings &apply) -> result<void> {
+    BOOST_OUTCOME_TRYV(check_overlap(next.value, parse_others(all)));
+    const auto *current = find_object(all, apply.customer);
+    if (current == nullptr || apply.force)
+        return boost::outcome_v2::success();
+    auto parsed =
+        parse_contract(current->name, current->generation, current->spec_json);
+    if (!parsed)
+        return boost::outcome_v2::success();
+    return check_removals(parsed.value(), next.value);
+}
+
+auto fresh_change_id() -> std::string {
+    hybrid_clock clock;
+    return fmt::format(
+        "{}-{}", clock.next(),
+        std::hash<std::thread::id>{}(std::this_thread::get_id()));
+}
+
+auto print_difference(const std::string &before, const std::string &after)
+    -> void {
+    const auto patch = json::diff(json::parse(before, nullptr, false),
+                                  json::parse(after, nullptr, false));
+    for (const auto &it : patch)
+        fmt::print("{:8} {} {}\n", it.value("op", ""), it.value("path", ""),
+                   it.contains("value") ? it["value"].dump() : "");
+}
+
+auto count_in_force(const tool_settings &settings, const std::string &customer,
+                    std::uint64_t generation) -> std::size_t {
+    std::size_t n = 0;
+    for (const auto &it : ask_all(settings, "/status")) {
+        if (it.body.is_object() &&
+            it.body["contracts"].value(customer, std::uint64_t{0}) >=
+                generation)
+            ++n;
+    }
+    return n;
+}
+
+auto wait_in_force(const tool_settings &settings, const std::string &customer,
+                   std::uint64_t generation) -> tool_exit {
+    const auto wanted = settings.instances.size();
+    const auto start = monotonic::now();
+    auto n = count_in_force(settings, customer, generation);
+    while (n < wanted && monotonic::now() - start < force_patience) {
+        std::this_thread::sleep_for(force_step);
+        n = count_in_force(settings, customer, generation);
+    }
+    const auto spent =
+        std::chrono::duration_cast<milliseconds>(monotonic::now() - start);
+    fmt::print("in force on {} of {} balancers after {} ms\n", n, wanted,
+               spent.count());
+    return n == wanted ? tool_exit::done : tool_exit::trouble;
+}
+
+auto conflict(const tool_settings &settings, const apply_settings &apply,
+              const std::string &wanted, const error &why) -> tool_exit {
+    fail(why);
+    auto client = open_platform(settings);
+    auto current =
+        client.value().get(platform_resource::contracts, apply.customer);
+    if (current) {
+        fmt::print(stderr, "generation {} differs from your file:\n",
+                   current.value().generation);
+        print_difference(current.value().spec_json, wanted);
+    }
+    return tool_exit::conflict;
+}
+
+} // namespace
+
+auto contract_check(const tool_settings &settings, const std::string &customer,
+                    const std::string &file) -> tool_exit {
+    auto checked = check_file(customer, file);
+    if (!checked)
+        return fail(checked.error());
+    print_warnings(checked.value().value);
+    const auto n = checked.value().value.services.size();
+    if (settings.json)
+        fmt::print("{}\n", json{{"valid", true}, {"services", n}}.dump());
+    else
+        fmt::print("valid: {} services\n", n);
+    return tool_exit::done;
+}
+
+auto contract_apply(const tool_settings &settings, const apply_settings &apply)
+    -> tool_exit {
+    auto checked = check_file(apply.customer, apply.file);
+    if (!checked)
+        return fail(checked.error());
+    auto client = open_platform(settings);
+    if (!client)
+        return fail(client.error());
+    auto all = client.value().list(platform_resource::contracts);
+    if (!all)
+        return fail(all.error());
+    const auto allowed =
+        check_against(checked.value(), all.value().objects, apply);
+    if (!allowed)
+        return fail(allowed.error());
+    platform_object object{.name = apply.customer,
+                           .change_id = fresh_change_id(),
+                           .spec_json = checked.value().spec_json};
+    const auto *current = find_object(all.value().objects, apply.customer);
+    if (current != nullptr) {
+        object.resource_version = current->resource_version;
+        if (!apply.base.empty() &&
+            apply.base != std::to_string(current->generation))
+            return conflict(settings, apply, object.spec_json,
+                            {error_kind::contract_conflict,
+                             fmt::format("the contract is at generation {}, "
+                                         "your edit started from {}",
+                                         current->generation, apply.base)});
+    }
+    auto written = client.value().put_contract(object);
+    if (!written && written.error().kind == error_kind::contract_conflict)
+        return conflict(settings, apply, object.spec_json, written.error());
+    if (!written)
+        return fail(written.error());
+    print_warnings(checked.value().value);
+    const auto generation = written.value().generation;
+    if (settings.json)
+        fmt::print("{}\n", json{{"generation", generation}}.dump());
+    else
+        fmt::print("accepted as generation {}\n", generation);
+    if (!apply.wait)
+        return tool_exit::done;
+    return wait_in_force(settings, apply.customer, generation);
+}
+
+auto contract_get(const tool_settings &settings, const std::string &customer)
+    -> tool_exit {
+    auto client = open_platform(settings);
+    if (!client)
+        return fail(client.error());
+    auto all = client.value().list(platform_resource::contracts);
+    if (!all)
+        return fail(all.error());
+    if (customer.empty()) {
+        for (const auto &it : all.value().objects)
+            fmt::print("{} generation {}\n", it.name, it.generation);
+        return tool_exit::done;
+    }
+    const auto *object = find_object(all.value().objects, customer);
+    if (object == nullptr)
+        return fail({error_kind::platform_not_found, customer});
+    fmt::print("{}\n",
+               json::parse(object->spec_json).dump(settings.json ? -1 : 2));
+    return tool_exit::done;
+}
+
+auto contract_diff(const tool_settings &settings, const std::string &customer,
+                   const std::string &file) -> tool_exit {
+    auto client = open_platform(settings);
+    if (!client)
+        return fail(client.error());
+    auto current = client.value().get(platform_resource::contracts, customer);
+    if (!current)
+        return fail(current.error());
+    auto text = read_file(file);
+    if (!text)
+        return fail(text.error());
+    print_difference(current.value().spec_json, text.value());
+    return tool_exit::done;
+}
+
+auto contract_history(const tool_settings &settings,
+                      const std::string &customer) -> tool_exit {
+    ordered_json rows = ordered_json::array();
+    for (const auto &it : ask_all(settings, "/timeline")) {
+        if (!it.body.is_array())
+            continue;
+        for (const auto &event : it.body) {
+            if (event["subject"] == customer &&
+                event["kind"] == "contract_accepted")
+                rows.push_back(event);
+        }
+    }
+    if (settings.json) {
+        fmt::print("{}\n", rows.dump());
+        return tool_exit::done;
+    }
+    for (const auto &it : rows)
+        fmt::print("generation {:<6} in force on {:<16} since {} ms\n",
+                   it["generation"].get<std::uint64_t>(),
+                   it["instance"].get<std::string>(),
+                   it["stamp"].get<std::uint64_t>() >> 16);
+    return tool_exit::done;
+}
+
+} // namespace dogwoodtrack::tool
--- /dev/null
+++ b/src/dogwoodtrack/fleet_commands.cpp
@@ -0,0 +1,272 @@
+#include "commands.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <thread>
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+namespace dogwoodtrack::tool {
+
+namespace {
+
+constexpr seconds patience{2};
+constexpr seconds follow_interval{1};
+
+auto ask_one(const std::string &instance, const std::string &path)
+    -> std::string {
+    auto address = parse_endpoint(instance);
+    if (!address)
+        return {};
+    httplib::Client client(instance.substr(0, instance.rfind(':')),
+                           address.value().port);
+    client.set_connection_timeout(patience);
+    client.set_read_timeout(patience);
+    const auto answer = client.Get(path);
+    return answer && answer->status == 200 ? answer->body : std::string{};
+}
+
+auto print_json(const std::vector<instance_answer> &answers) -> tool_exit {
+    ordered_json all;
+    for (const auto &it : answers)
+        all[it.instance] = it.body;
+    fmt::print("{}\n", all.dump());
+    return tool_exit::done;
+}
+
+auto trouble_of(const std::vector<instance_answer> &answers)
+    -> std::vector<std::string> {
+    std::vector<std::string> lines;
+    std::map<std::string, std::uint64_t> latest;
+    for (const auto &it : answers) {
+        if (!it.body.is_object()) {
+            lines.push_back(it.instance + " does not answer");
+            continue;
+        }
+        for (const auto &condition : it.body["conditions"])
+            lines.push_back(
+                fmt::format("{}: {}", condition["service"].get<std::string>(),
+                            condition["reason"].get<std::string>()));
+        if (!it.body["placing"].get<bool>())
+            lines.push_back(
+                fmt::format("{} places no flows: it hears no majority of {}",
+                            it.body["instance"].get<std::string>(),
+                            it.body["failure_domain"].get<std::string>()));
+        for (const auto &[customer, generation] : it.body["contracts"].items())
+            latest[customer] =
+                std::max(latest[customer], generation.get<std::uint64_t>());
+    }
+    for (const auto &it : answers) {
+        if (!it.body.is_object())
+            continue;
+        for (const auto &[customer, generation] : latest) {
+            if (it.body["contracts"].value(customer, std::uint64_t{0}) <
+                generation)
+                lines.push_back(
+                    fmt::format("{} lacks generation {} of {}",
+                                it.body["instance"].get<std::string>(),
+                                generation, customer));
+        }
+    }
+    std::sort(lines.begin(), lines.end());
+    lines.erase(std::unique(lines.begin(), lines.end()), lines.end());
+    return lines;
+}
+
+auto read_events(const tool_settings &settings, const timeline_settings &filter)
+    -> ordered_json {
+    ordered_json events = ordered_json::array();
+    if (!filter.file.empty()) {
+        std::ifstream in(filter.file);
+        const auto list = ordered_json::parse(in, nullptr, false);
+        return list.is_array() ? list : events;
+    }
+    for (const auto &it : ask_all(settings, "/timeline")) {
+        if (it.body.is_array())
+            events.insert(events.end(), it.body.begin(), it.body.end());
+    }
+    return events;
+}
+
+auto contains(const ordered_json &event, const char *field,
+              const std::string &wanted) -> bool {
+    return wanted.empty() ||
+           event[field].get<std::string>().find(wanted) != std::string::npos;
+}
+
+auto passes(const ordered_json &event, const timeline_settings &filter)
+    -> bool {
+    return (contains(event, "subject", filter.subject) ||
+            contains(event, "detail", filter.subject)) &&
+           contains(event, "instance", filter.instance) &&
+           contains(event, "kind", filter.kind) &&
+           (filter.generation == 0 || event["generation"] == filter.generation);
+}
+
+auto chosen_events(const tool_settings &settings,
+                   const timeline_settings &filter) -> ordered_json {
+    ordered_json chosen = ordered_json::array();
+    for (const auto &it : read_events(settings, filter)) {
+        if (passes(it, filter))
+            chosen.push_back(it);
+    }
+    std::sort(chosen.begin(), chosen.end(),
+              [](const ordered_json &left, const ordered_json &right) {
+                  return left["stamp"].get<std::uint64_t>() <
+                         right["stamp"].get<std::uint64_t>();
+              });
+    return chosen;
+}
+
+auto print_event(const ordered_json &it) -> void {
+    const auto stamp = it["stamp"].get<std::uint64_t>();
+    fmt::print("{}.{:04} {:16} {:20} {} {}\n", stamp >> 16, stamp & 0xffff,
+               it["instance"].get<std::string>(), it["kind"].get<std::string>(),
+               it["subject"].get<std::string>(),
+               it["detail"].get<std::string>());
+}
+
+} // namespace
+
+auto fail(const error &why) -> tool_exit {
+    fmt::print(stderr, "{}\n", why.message());
+    return tool_exit::failed;
+}
+
+auto ask_all(const tool_settings &settings, const std::string &path)
+    -> std::vector<instance_answer> {
+    std::vector<instance_answer> answers;
+    for (const auto &it : settings.instances) {
+        const auto body =
+            ordered_json::parse(ask_one(it, path), nullptr, false);
+        answers.push_back(
+            {.instance = it,
+             .body = body.is_discarded() ? ordered_json() : body});
+    }
+    return answers;
+}
+
+auto show_status(const tool_settings &settings) -> tool_exit {
+    const auto answers = ask_all(settings, "/status");
+    const auto trouble = trouble_of(answers);
+    if (settings.json) {
+        print_json(answers);
+        return trouble.empty() ? tool_exit::done : tool_exit::trouble;
+    }
+    if (trouble.empty()) {
+        std::uint64_t flows = 0;
+        for (const auto &it : answers)
+            flows += it.body["flows"].get<std::uint64_t>();
+        fmt::print("nothing to worry about: {} balancers, {} flow records\n",
+                   answers.size(), flows);
+        return tool_exit::done;
+    }
+    for (const auto &it : trouble)
+        fmt::print("{}\n", it);
+    return tool_exit::trouble;
+}
+
+auto show_instances(const tool_settings &settings) -> tool_exit {
+    const auto answers = ask_all(settings, "/instances");
+    if (settings.json)
+        return print_json(answers);
+    fmt::print("{:24} {:16} {:8} {}\n", "SEEN BY", "INSTANCE", "STATUS",
+               "HEARD MS AGO");
+    for (const auto &it : answers) {
+        if (!it.body.is_array())
+            continue;
+        for (const auto &row : it.body)
+            fmt::print("{:24} {:16} {:8} {}\n", it.instance,
+                       row["name"].get<std::string>(),
+                       row["status"].get<std::string>(),
+                       row["heard_ms"].get<std::int64_t>());
+    }
+    return tool_exit::done;
+}
+
+auto show_upstreams(const tool_settings &settings) -> tool_exit {
+    const auto answers = ask_all(settings, "/upstreams");
+    if (settings.json)
+        return print_json(answers);
+    fmt::print("{:24} {:16} {:>8} {:>8} {:>7} {}\n", "SERVICE", "UPSTREAM",
+               "OPEN", "LIMIT", "WEIGHT", "OWNER");
+    for (const auto &it : answers) {
+        if (!it.body.is_array())
+            continue;
+        for (const auto &row : it.body) {
+            if (!row["mine"].get<bool>())
+                continue;
+            fmt::print("{:24} {:16} {:>8} {:>8} {:>7} {}{}\n",
+                       row["service"].get<std::string>(),
+                       row["name"].get<std::string>(),
+                       row["open"].get<std::uint64_t>(),
+                       row["limit"].get<std::uint64_t>(),
+                       row["weight"].get<std::uint64_t>(),
+                       row["owner"].get<std::string>(),
+                       row["in_service"].get<bool>() ? "" : " (leaving)");
+        }
+    }
+    return tool_exit::done;
+}
+
+auto show_flows(const tool_settings &settings) -> tool_exit {
+    const auto answers = ask_all(settings, "/status");
+    if (settings.json)
+        return print_json(answers);
+    fmt::print("{:16} {:>8} {:>10} {:>10} {:>8} {:>8}\n", "INSTANCE", "FLOWS",
+               "PLACED", "FORWARDED", "REFUSED", "LEARNED");
+    for (const auto &it : answers) {
+        if (!it.body.is_object())
+            continue;
+        const auto &counters = it.body["counters"];
+        const auto number = [&](const char *name) {
+            return counters[name].get<std::uint64_t>();
+        };
+        fmt::print("{:16} {:>8} {:>10} {:>10} {:>8} {:>8}\n",
+                   it.body["instance"].get<std::string>(),
+                   it.body["flows"].get<std::uint64_t>(), number("placed"),
+                   number("forwarded"), number("refused"), number("learned"));
+    }
+    return tool_exit::done;
+}
+
+auto show_metrics(const tool_settings &settings) -> tool_exit {
+    for (const auto &it : settings.instances)
+        fmt::print("{}", ask_one(it, "/metrics"));
+    return tool_exit::done;
+}
+
+auto show_config(const tool_settings &settings) -> tool_exit {
+    return print_json(ask_all(settings, "/config"));
+}
+
+auto show_timeline(const tool_settings &settings,
+                   const timeline_settings &filter) -> tool_exit {
+    const auto events = chosen_events(settings, filter);
+    if (!filter.html.empty()) {
+        std::ofstream(filter.html) << timeline_page(events);
+        fmt::print("{} events in {}\n", events.size(), filter.html);
+        return tool_exit::done;
+    }
+    if (settings.json) {
+        fmt::print("{}\n", events.dump());
+        return tool_exit::done;
+    }
+    std::uint64_t last = 0;
+    for (auto list = events;; list = chosen_events(settings, filter)) {
+        for (const auto &it : list) {
+            if (it["stamp"].get<std::uint64_t>() <= last)
+                continue;
+            last = it["stamp"].get<std::uint64_t>();
+            print_event(it);
+        }
+        if (!filter.follow)
+            return tool_exit::done;
+        std::fflush(stdout);
+        std::this_thread::sleep_for(follow_interval);
+    }
+}
+
+} // namespace dogwoodtrack::tool
--- a/src/dogwoodtrackd/main.cpp
+++ b/src/dogwoodtrackd/main.cpp
@@ -42,8 +42,7 @@
     add("--failure-domain", options.failure_domain, "FAILURE_DOMAIN",
         "Failure domain this instance is in")
         ->required();
-    add("--link", raw.link, "LINK",
-        "Endpoint for Geneve packets, a.b.c.d:port")
+    add("--link", raw.link, "LINK", "Endpoint for Geneve packets, a.b.c.d:port")
         ->required();
     add("--control", raw.control, "CONTROL",
         "Endpoint for control messages of peers")
@@ -51,8 +50,7 @@
     add("--operators", raw.operators, "OPERATORS",
         "Endpoint for operators and metrics (HTTP)")
         ->required();
-    add("--fabric", raw.fabric, "FABRIC", "Endpoint of the fabric")
-        ->required();
+    add("--fabric", raw.fabric, "FABRIC", "Endpoint of the fabric")->required();
     add("--platform", raw.platform, "PLATFORM",
         "Endpoint of the platform's object API")
         ->capture_default_str();
@@ -89,8 +87,7 @@
         ->capture_default_str();
     app.add_flag("--fault-injection", options.fault_injection,
                  "Let tests cut this instance off (POST /fault)");
-    app.add_flag("--check", raw.check,
-                 "Print the settings in effect and exit");
+    app.add_flag("--check", raw.check, "Print the settings in effect and exit");
 }
 
 auto read_endpoints(const raw_settings &raw, daemon_options &options)
@@ -113,18 +110,17 @@
         if (name == "--help" || name == "--check")
             continue;
         const auto secret = name == "--fleet-key";
-        const auto values = it->count() > 0 ? it->results()
-                                            : std::vector<std::string>{
-                                                  it->get_default_str()};
+        const auto values =
+            it->count() > 0 ? it->results()
+                            : std::vector<std::string>{it->get_default_str()};
         fmt::print("{} = {}\n", name.substr(2),
-                   secret ? "(set)" : fmt::format("{}", fmt::join(values,
-                                                                  ",")));
+                   secret ? "(set)"
+                          : fmt::format("{}", fmt::join(values, ",")));
     }
 }
 
 auto fail(const error &why, exit_code code) -> int {
-    write_log(log_level::failure, "", to_string(why.kind), "",
-              why.message());
+    write_log(log_level::failure, "", to_string(why.kind), "", why.message());
     return static_cast<int>(code);
 }
 
@@ -146,8 +142,8 @@
     }
     if (const auto read = read_endpoints(raw, options); !read)
         return fail(read.error(), exit_code::bad_setting);
-    options.placement = raw.placement == "hash" ? placement_mode::hash
-                                                : placement_mode::owner;
+    options.placement =
+        raw.placement == "hash" ? placement_mode::hash : placement_mode::owner;
     options.refresh_interval = milliseconds(raw.refresh_ms);
     options.heartbeat = milliseconds(raw.heartbeat_ms);
     options.stop_deadline = seconds(raw.stop_deadline_s);
@@ -161,9 +157,8 @@
     std::signal(SIGINT, on_signal);
     const auto ended = run_daemon(options, stop_requested);
     if (!ended)
-        return fail(ended.error(),
-                    ended.error().kind == error_kind::bad_setting
-                        ? exit_code::bad_setting
-                        : exit_code::cannot_listen);
+        return fail(ended.error(), ended.error().kind == error_kind::bad_setting
+                                       ? exit_code::bad_setting
+                                       : exit_code::cannot_listen);
     return static_cast<int>(ended.value());
 }
--- a/src/include/dogwoodtrack/error.hpp
+++ b/src/include/dogwoodtrack/error.hpp
@@ -39,7 +39,8 @@
 
 /// A value or a typed error.
 template <typename T>
-using result = boost::outcome_v2::basic_result<
-    T, error, boost::outcome_v2::policy::terminate>;
+using result =
+    boost::outcome_v2::basic_result<T, error,
+                                    boost::outcome_v2::policy::terminate>;
 
 } // namespace dogwoodtrack
--- a/src/include/dogwoodtrack/flow_table.hpp
+++ b/src/include/dogwoodtrack/flow_table.hpp
@@ -76,8 +76,7 @@
         -> std::size_t;
 
     /// Removes all entries for which `drop` returns true.
-    auto erase_if(const std::function<bool(const flow_entry &)> &drop)
-        -> void;
+    auto erase_if(const std::function<bool(const flow_entry &)> &drop) -> void;
 
     auto size() const -> std::size_t;
     auto capacity() const -> std::size_t;
--- a/src/include/dogwoodtrack/forwarding.hpp
+++ b/src/include/dogwoodtrack/forwarding.hpp
@@ -21,6 +21,7 @@
     relayed_refresh,
     relayed_chain,
     relayed_answer,
+    relayed_found,
     placed,
     placed_by_default,
     forwarded_to_domain,
--- a/src/include/dogwoodtrack/link.hpp
+++ b/src/include/dogwoodtrack/link.hpp
@@ -34,8 +34,7 @@
 
     /// Queues one outer packet, which must stay unchanged until `flush`.
     /// Flushes by itself when a batch is full.
-    auto send(const endpoint &to, std::span<const std::uint8_t> outer)
-        -> void;
+    auto send(const endpoint &to, std::span<const std::uint8_t> outer) -> void;
 
     /// Queues a copy of one outer packet.
     auto send_copy(const endpoint &to, std::span<const std::uint8_t> outer)
--- a/src/include/dogwoodtrack/packet.hpp
+++ b/src/include/dogwoodtrack/packet.hpp
@@ -57,13 +57,14 @@
 
 /// What a relayed packet asks of the balancer that receives it.
 enum class relay_kind : std::uint8_t {
-    open = 1,   ///< place this flow, or find its record
-    lookup = 2, ///< find the record of this flow and forward
-    close = 3,  ///< FIN or RST: note the end and forward
+    open = 1,    ///< place this flow, or find its record
+    lookup = 2,  ///< find the record of this flow and forward
+    close = 3,   ///< FIN or RST: note the end and forward
     refresh = 4, ///< mark the flow as alive and forward
     chain = 5,   ///< record the owner's decision and forward
     answer = 6,  ///< an upstream's packet the receiver has to judge
-    gone = 7     ///< an upstream's FIN or RST
+    gone = 7,    ///< an upstream's FIN or RST
+    found = 8    ///< a looked-up packet on its way back with its binding
 };
 
 /// Largest number of replicas that one chained packet visits.
@@ -79,11 +80,14 @@
     std::uint8_t hops = 0;
     std::uint8_t chain_size = 0;
     std::uint32_t failure_domain = 0; ///< domain asked, as `hash_name`
-    std::uint32_t owner = 0;          ///< instance that placed the flow
-    endpoint upstream;                ///< for `chain`: where the flow goes
+    std::uint32_t owner = 0; ///< that placed the flow, or asks about it
+    endpoint upstream;       ///< for `chain`: where the flow goes
     std::array<std::uint32_t, chain_limit> chain{};
 };
 
+/// Time to live of packets that this process builds.
+inline constexpr std::uint8_t initial_time_to_live = 64;
+
 /// 16-byte key of the relay MAC.
 using mac_key = std::array<std::uint8_t, 16>;
 
@@ -96,7 +100,7 @@
     endpoint destination;
     std::uint8_t tcp_flags = 0;
     std::uint32_t tcp_sequence = 0;
-    std::uint16_t identification = 0;
+    std::uint8_t time_to_live = 0;
 };
 
 inline constexpr std::uint8_t tcp_fin = 0x01;
@@ -133,6 +137,9 @@
 /// Rewrites the source, as `rewrite_destination` does the destination.
 auto rewrite_source(inner_packet &inner, const endpoint &to) -> void;
 
+/// Takes one off the time to live, as every relay does.
+auto decrement_time_to_live(inner_packet &inner) -> void;
+
 /// Writes a plain Geneve header in front of the inner packet and returns
 /// the outer packet. Precondition: `inner.bytes` lies in a `packet_buffer`.
 auto wrap_plain(const inner_packet &inner) -> std::span<std::uint8_t>;
@@ -150,7 +157,6 @@
     std::uint8_t tcp_flags = 0;
     std::uint32_t sequence = 0;
     std::uint32_t acknowledgement = 0;
-    std::uint16_t identification = 0; ///< IPv4 identification
     std::span<const std::uint8_t> payload;
 };
 
--- a/src/include/dogwoodtrack/peer_channel.hpp
+++ b/src/include/dogwoodtrack/peer_channel.hpp
@@ -46,7 +46,6 @@
 };
 
 /// Derives the key of relay MACs from the fleet key. Thread safe.
-auto relay_key(const std::string &fleet_key)
-    -> std::array<std::uint8_t, 16>;
+auto relay_key(const std::string &fleet_key) -> std::array<std::uint8_t, 16>;
 
 } // namespace dogwoodtrack
--- a/src/include/dogwoodtrack/routing.hpp
+++ b/src/include/dogwoodtrack/routing.hpp
@@ -67,7 +67,7 @@
 /// The balancers that decide for one service in one failure domain.
 struct domain_route {
     std::uint32_t failure_domain = 0;
-    double capacity = 0; ///< of upstreams in service
+    double capacity = 0;    ///< of upstreams in service
     bool reachable = false; ///< some balancer there answers
     time_point owned_since; ///< when the owner last changed
     std::shared_ptr<domain_load> load;
--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -31,7 +31,7 @@
     std::string domain_name;
     std::uint64_t incarnation = 0;
     std::uint64_t version = 0;
-    time_point heard{};      ///< last message straight from it
+    time_point heard{}; ///< last message straight from it
     time_point silent_since{};
     bool graceful = false; ///< it said that it is leaving
 };
@@ -122,8 +122,7 @@
         domain_loads;
     std::map<std::uint64_t, health_state> health;
     std::map<std::pair<std::uint32_t, std::uint32_t>, std::uint32_t> owners;
-    std::map<std::pair<std::uint32_t, std::uint32_t>, time_point>
-        owned_since;
+    std::map<std::pair<std::uint32_t, std::uint32_t>, time_point> owned_since;
     std::map<std::uint32_t, sync_progress> syncs;
     std::vector<sync_job> sync_jobs;
     double sync_credit = 0;
--- a/src/libdogwoodtrack/conditions.cpp
+++ b/src/libdogwoodtrack/conditions.cpp
@@ -16,10 +16,8 @@
 // Broken means that no domain has room, since a full one passes its flows
 // on to the next.
 auto is_broken(const blackboard &board, const service_route &service,
-               const std::vector<std::uint32_t> &own, time_point now)
-    -> bool {
-    const auto here =
-        std::count(own.begin(), own.end(), service.id) > 0;
+               const std::vector<std::uint32_t> &own, time_point now) -> bool {
+    const auto here = std::count(own.begin(), own.end(), service.id) > 0;
     const auto it = board.troubled.find(service.id);
     const auto elsewhere =
         it != board.troubled.end() && now - it->second < report_life;
@@ -77,8 +75,7 @@
 
 } // namespace
 
-auto is_reporter(const blackboard &board, const std::string &customer)
-    -> bool {
+auto is_reporter(const blackboard &board, const std::string &customer) -> bool {
     return reports_for(board, customer, board.self.id);
 }
 
@@ -91,8 +88,7 @@
                 continue;
             wire::Envelope message;
             message.mutable_heartbeat()->set_id(board.self.id);
-            message.mutable_heartbeat()->set_incarnation(
-                board.incarnation);
+            message.mutable_heartbeat()->set_incarnation(board.incarnation);
             message.mutable_heartbeat()->set_version(board.version);
             message.mutable_heartbeat()->add_troubled(id);
             send_to(actions, peer, message);
--- a/src/libdogwoodtrack/conditions.hpp
+++ b/src/libdogwoodtrack/conditions.hpp
@@ -23,7 +23,6 @@
     -> void;
 
 /// Whether this instance reports for `customer`.
-auto is_reporter(const blackboard &board, const std::string &customer)
-    -> bool;
+auto is_reporter(const blackboard &board, const std::string &customer) -> bool;
 
 } // namespace dogwoodtrack
--- a/src/libdogwoodtrack/contract.cpp
+++ b/src/libdogwoodtrack/contract.cpp
@@ -37,9 +37,7 @@
     if (!value.is_object())
         reject(path, "is not an object");
     for (const auto &it : value.items()) {
-        const auto matches = [&](const char *name) {
-            return it.key() == name;
-        };
+        const auto matches = [&](const char *name) { return it.key() == name; };
         if (std::none_of(known.begin(), known.end(), matches))
             reject(path + "." + it.key(), "is not a known field");
     }
@@ -80,8 +78,8 @@
     return it->get<T>();
 }
 
-auto read_endpoint(const json &value, const std::string &path,
-                   const char *name) -> endpoint {
+auto read_endpoint(const json &value, const std::string &path, const char *name)
+    -> endpoint {
     auto parsed = parse_endpoint(read_string(value, path, name));
     if (!parsed)
         reject(path + "." + name, "is not an address a.b.c.d:port");
@@ -99,19 +97,19 @@
     return false;
 }
 
-auto read_upstream(const json &value, const std::string &path,
-                   limit_kind limit) -> upstream_terms {
+auto read_upstream(const json &value, const std::string &path, limit_kind limit)
+    -> upstream_terms {
     require_object(value, path,
-                   {"name", "address", "failureDomain", "connections",
-                    "slots", "capacity", "leaving"});
+                   {"name", "address", "failureDomain", "connections", "slots",
+                    "capacity", "leaving"});
     upstream_terms it{
         .name = read_string(value, path, "name"),
         .address = read_endpoint(value, path, "address"),
         .failure_domain = read_string(value, path, "failureDomain"),
-        .connections = read_number<std::uint32_t>(value, path, "connections",
-                                                  0, 1, connections_max),
-        .slots = read_number<std::uint32_t>(value, path, "slots", 0, 1,
-                                            slots_max),
+        .connections = read_number<std::uint32_t>(value, path, "connections", 0,
+                                                  1, connections_max),
+        .slots =
+            read_number<std::uint32_t>(value, path, "slots", 0, 1, slots_max),
         .capacity =
             read_number<double>(value, path, "capacity", 1.0, 0.01, 1000.0),
         .leaving = read_bool(value, path, "leaving", false)};
@@ -141,13 +139,11 @@
     return upstreams;
 }
 
-auto read_service(const json &value, const std::string &path)
-    -> service_terms {
+auto read_service(const json &value, const std::string &path) -> service_terms {
     require_object(value, path,
                    {"name", "address", "protocol", "limit", "overload",
                     "idempotent", "imbalanceTolerance", "replicas",
-                    "idleTimeoutSeconds", "leaveWithinSeconds",
-                    "upstreams"});
+                    "idleTimeoutSeconds", "leaveWithinSeconds", "upstreams"});
     service_terms it;
     it.name = read_string(value, path, "name");
     it.address = read_endpoint(value, path, "address");
@@ -161,11 +157,10 @@
                       ? overload_policy::place
                       : overload_policy::refuse;
     it.idempotent = read_bool(value, path, "idempotent", false);
-    it.imbalance_tolerance =
-        read_number<double>(value, path, "imbalanceTolerance",
-                            it.imbalance_tolerance, 0.0, 10.0);
-    it.replicas = read_number<std::uint32_t>(
-        value, path, "replicas", it.replicas, 1, replicas_max);
+    it.imbalance_tolerance = read_number<double>(
+        value, path, "imbalanceTolerance", it.imbalance_tolerance, 0.0, 10.0);
+    it.replicas = read_number<std::uint32_t>(value, path, "replicas",
+                                             it.replicas, 1, replicas_max);
     it.idle_timeout = seconds(read_number<std::int64_t>(
         value, path, "idleTimeoutSeconds", it.idle_timeout.count(), 1,
         idle_seconds_max));
@@ -187,8 +182,7 @@
                   const std::string &path) -> void {
     const auto claim = [&](const endpoint &address, transport protocol,
                            const std::string &user) {
-        const auto [it, fresh] =
-            uses.try_emplace({address, protocol}, user);
+        const auto [it, fresh] = uses.try_emplace({address, protocol}, user);
         if (!fresh)
             reject(path, fmt::format("{} is used by {} and by {}",
                                      to_string(address), it->second, user));
@@ -218,8 +212,7 @@
         value.withdrawn = read_bool(root, "spec", "withdrawn", false);
         const auto list = root.find("services");
         if (list == root.end() || !list->is_array() ||
-            list->size() > services_max ||
-            (list->empty() && !value.withdrawn))
+            list->size() > services_max || (list->empty() && !value.withdrawn))
             reject("spec.services", "is missing, empty or too long");
         std::set<std::string> names;
         for (std::size_t i = 0; i < list->size(); ++i) {
@@ -265,9 +258,9 @@
     for (const auto &service : current.services) {
         for (const auto &it : service.upstreams) {
             if (!it.leaving && !kept.contains(it.address))
-                return error{error_kind::contract_removes_upstream,
-                             fmt::format("{}/{} is in service",
-                                         service.name, it.name)};
+                return error{
+                    error_kind::contract_removes_upstream,
+                    fmt::format("{}/{} is in service", service.name, it.name)};
         }
     }
     return boost::outcome_v2::success();
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -32,8 +32,8 @@
     case wire::Envelope::kHeartbeat: {
         on_heartbeat(board, message, now, actions);
         const auto peer = board.peers.find(message.from());
-        const auto differs = message.heartbeat().documents_digest() !=
-                             documents_digest(board);
+        const auto differs =
+            message.heartbeat().documents_digest() != documents_digest(board);
         if (differs && peer != board.peers.end() &&
             now >= board.next_anti_entropy) {
             board.next_anti_entropy = now + 2 * board.options.heartbeat;
@@ -79,10 +79,10 @@
 auto read_platform(control_context &it, time_point now,
                    control_actions &actions) -> void {
     for (const auto &document : it.feed.take())
-        accept_document(it.board, document.name,
-                        {.generation = document.generation,
-                         .json = document.json},
-                        now, actions);
+        accept_document(
+            it.board, document.name,
+            {.generation = document.generation, .json = document.json}, now,
+            actions);
 }
 
 auto read_reports(control_context &it, control_actions &actions) -> void {
@@ -147,17 +147,16 @@
 auto write_condition(control_context &it, const condition_change &change)
     -> void {
     const nlohmann::ordered_json status{
-        {"conditions",
-         nlohmann::ordered_json::array(
-             {{{"type", "CapacityExhausted"},
-               {"status", change.set ? "True" : "False"},
-               {"service", change.service},
-               {"message", change.set ? change.reason : ""}}})}};
+        {"conditions", nlohmann::ordered_json::array(
+                           {{{"type", "CapacityExhausted"},
+                             {"status", change.set ? "True" : "False"},
+                             {"service", change.service},
+                             {"message", change.set ? change.reason : ""}}})}};
     it.feed.write_status(change.customer, status.dump());
 }
 
-auto do_slow_tick(control_context &it, time_point now,
-                  control_actions &actions) -> void {
+auto do_slow_tick(control_context &it, time_point now, control_actions &actions)
+    -> void {
     if (now < it.next_slow_tick)
         return;
     it.next_slow_tick = now + slow_tick;
@@ -171,15 +170,15 @@
 auto last_packet(const control_context &it) -> time_point {
     time_point last{};
     for (const auto &worker : it.workers)
-        last = std::max(last, time_point(time_point::duration(
-                                  worker->last_packet.load())));
+        last = std::max(
+            last, time_point(time_point::duration(worker->last_packet.load())));
     return last;
 }
 
 // First peers that have the records, then the announcement, then the last
 // packets; the deadline cuts it short.
-auto stop_is_done(control_context &it, time_point now,
-                  control_actions &actions) -> bool {
+auto stop_is_done(control_context &it, time_point now, control_actions &actions)
+    -> bool {
     auto &board = it.board;
     if (board.self.status == member_status::live) {
         if (!may_leave(board))
@@ -210,8 +209,7 @@
     done.wait();
 }
 
-auto run_control(control_context &it, const std::atomic<bool> &stop)
-    -> bool {
+auto run_control(control_context &it, const std::atomic<bool> &stop) -> bool {
     auto &board = it.board;
     control_actions actions;
     board.started = monotonic::now();
--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -28,8 +28,7 @@
 }
 
 // Rank of this instance among the live ones that could own the service.
-auto own_rank(const blackboard &board, std::uint32_t service)
-    -> std::size_t {
+auto own_rank(const blackboard &board, std::uint32_t service) -> std::size_t {
     const auto members = all_members(board);
     const auto order =
         rank_members(members, board.self.failure_domain, service);
@@ -49,20 +48,17 @@
     announce_self(board, now, actions);
 }
 
-auto request_sync(blackboard &board, std::uint32_t service,
-                  std::uint32_t owner, time_point now,
-                  control_actions &actions) -> void {
+auto request_sync(blackboard &board, std::uint32_t service, std::uint32_t owner,
+                  time_point now, control_actions &actions) -> void {
     auto &progress = board.syncs[service];
-    if (progress.source == owner &&
-        now - progress.requested < request_timeout)
+    if (progress.source == owner && now - progress.requested < request_timeout)
         return;
     const auto peer = board.peers.find(owner);
     if (peer == board.peers.end())
         return;
     if (progress.source != owner)
-        board.events->record(event_kind::sync_started,
-                             peer->second.info.name, 0,
-                             std::to_string(service));
+        board.events->record(event_kind::sync_started, peer->second.info.name,
+                             0, std::to_string(service));
     progress = {.source = owner, .requested = now};
     const auto partial = board.paused_services.contains(service) &&
                          board.gap < partial_copy_limit;
@@ -143,16 +139,15 @@
         put16(out, it.key.caller.port);
         put32(out, it.upstream.address);
         put16(out, it.upstream.port);
-        const auto flags = (it.closed ? flag_closed : 0) |
-                           (it.forwarded ? flag_forwarded : 0);
+        const auto flags =
+            (it.closed ? flag_closed : 0) | (it.forwarded ? flag_forwarded : 0);
         out.push_back(static_cast<char>(flags));
     }
     return out;
 }
 
 auto unpack_records(const std::string &bytes, const endpoint &service,
-                    transport protocol, std::vector<flow_record> &out)
-    -> bool {
+                    transport protocol, std::vector<flow_record> &out) -> bool {
     if (bytes.size() % record_size != 0)
         return false;
     for (std::size_t at = 0; at < bytes.size(); at += record_size) {
@@ -169,12 +164,11 @@
     return true;
 }
 
-auto tick_copying(blackboard &board, time_point now,
-                  control_actions &actions) -> void {
+auto tick_copying(blackboard &board, time_point now, control_actions &actions)
+    -> void {
     if (!board.view)
         return;
-    const auto rate =
-        static_cast<double>(board.options.sync_bytes_per_second);
+    const auto rate = static_cast<double>(board.options.sync_bytes_per_second);
     board.sync_credit = std::min(rate, board.sync_credit + rate / 20);
     const auto view = board.view;
     for (const auto &service : view->services) {
@@ -195,15 +189,12 @@
             return it.peer == message.from() && it.service == service;
         };
         if (!is_synced(board, service) ||
-            std::any_of(board.sync_jobs.begin(), board.sync_jobs.end(),
-                        same))
+            std::any_of(board.sync_jobs.begin(), board.sync_jobs.end(), same))
             continue;
-        board.sync_jobs.push_back(
-            {.peer = message.from(),
-             .service = service,
-             .age = milliseconds(
-                 std::min<std::uint64_t>(request.age_ms(),
-                                         all_ages.count()))});
+        board.sync_jobs.push_back({.peer = message.from(),
+                                   .service = service,
+                                   .age = milliseconds(std::min<std::uint64_t>(
+                                       request.age_ms(), all_ages.count()))});
     }
 }
 
@@ -217,8 +208,8 @@
                            .records = {},
                            .service = service->address,
                            .protocol = service->protocol};
-    if (!unpack_records(batch.records(), service->address,
-                        service->protocol, request.records))
+    if (!unpack_records(batch.records(), service->address, service->protocol,
+                        request.records))
         return;
     if (!request.records.empty())
         actions.requests.push_back(request);
@@ -237,9 +228,9 @@
 auto on_exported(blackboard &board, const std::vector<flow_record> &records,
                  std::size_t next, std::size_t workers,
                  control_actions &actions) -> void {
-    const auto job = std::find_if(
-        board.sync_jobs.begin(), board.sync_jobs.end(),
-        [](const sync_job &it) { return it.waiting; });
+    const auto job =
+        std::find_if(board.sync_jobs.begin(), board.sync_jobs.end(),
+                     [](const sync_job &it) { return it.waiting; });
     if (job == board.sync_jobs.end())
         return;
     job->waiting = false;
@@ -253,8 +244,7 @@
         board.sync_jobs.erase(job);
 }
 
-auto announce_expired(blackboard &board,
-                      const std::vector<expired_flow> &flows,
+auto announce_expired(blackboard &board, const std::vector<expired_flow> &flows,
                       control_actions &actions) -> void {
     if (!board.view)
         return;
--- a/src/libdogwoodtrack/copying.hpp
+++ b/src/libdogwoodtrack/copying.hpp
@@ -6,8 +6,8 @@
 
 /// Decides which services this instance needs records of and asks their
 /// owners. Without any owner, the first in rank starts with what it has.
-auto tick_copying(blackboard &board, time_point now,
-                  control_actions &actions) -> void;
+auto tick_copying(blackboard &board, time_point now, control_actions &actions)
+    -> void;
 
 /// A peer asks for records of services this instance owns.
 auto on_sync_request(blackboard &board, const wire::Envelope &message,
@@ -24,8 +24,7 @@
                  control_actions &actions) -> void;
 
 /// Tells the replicas of flows whose opening was never answered.
-auto announce_expired(blackboard &board,
-                      const std::vector<expired_flow> &flows,
+auto announce_expired(blackboard &board, const std::vector<expired_flow> &flows,
                       control_actions &actions) -> void;
 
 /// Whether every service this instance owns has another synced balancer,
@@ -37,7 +36,6 @@
 
 /// Unpacks records; false when the bytes are no whole number of records.
 auto unpack_records(const std::string &bytes, const endpoint &service,
-                    transport protocol, std::vector<flow_record> &out)
-    -> bool;
+                    transport protocol, std::vector<flow_record> &out) -> bool;
 
 } // namespace dogwoodtrack
--- a/src/libdogwoodtrack/daemon.cpp
+++ b/src/libdogwoodtrack/daemon.cpp
@@ -40,8 +40,7 @@
     return board;
 }
 
-auto make_workers(const daemon_options &options,
-                  const placement_lease &lease)
+auto make_workers(const daemon_options &options, const placement_lease &lease)
     -> result<std::vector<std::unique_ptr<packet_worker>>> {
     std::vector<std::unique_ptr<packet_worker>> workers;
     const forwarding_options settings{
@@ -74,8 +73,8 @@
         return bad_setting("--failure-domain is empty");
     if (options.fleet_key.size() < 16)
         return bad_setting("--fleet-key has fewer than 16 characters");
-    for (const auto *it : {&options.link, &options.control,
-                           &options.operators, &options.fabric}) {
+    for (const auto *it : {&options.link, &options.control, &options.operators,
+                           &options.fabric}) {
         if (it->port == 0)
             return bad_setting("an endpoint is missing");
     }
@@ -109,8 +108,7 @@
                         .client_name = "dogwoodtrackd/" + options.name},
                        events, faults.blocks_platform());
     control_context control{.options = options,
-                            .board =
-                                make_blackboard(options, events, lease),
+                            .board = make_blackboard(options, events, lease),
                             .channel = std::move(channel.value()),
                             .feed = feed,
                             .workers = workers.value(),
@@ -128,8 +126,7 @@
             pthread_setname_np(pthread_self(), "worker");
             run_worker(i, workers.value(), faults, stop_workers);
         });
-    events.record(event_kind::started, options.name, 0,
-                  options.failure_domain);
+    events.record(event_kind::started, options.name, 0, options.failure_domain);
     auto in_time = true;
     std::atomic<bool> control_done{false};
     std::thread controller([&] {
--- a/src/libdogwoodtrack/documents.cpp
+++ b/src/libdogwoodtrack/documents.cpp
@@ -16,8 +16,7 @@
 
 constexpr std::size_t watchers_per_domain = 2;
 
-auto condition_of(const json &entry, const char *name, bool fallback)
-    -> bool {
+auto condition_of(const json &entry, const char *name, bool fallback) -> bool {
     const auto conditions = entry.value("conditions", json::object());
     const auto it = conditions.find(name);
     return it != conditions.end() && it->is_boolean() ? it->get<bool>()
@@ -106,16 +105,13 @@
 
 auto apply_contract(blackboard &board, const std::string &name,
                     const document &value) -> bool {
-    const auto customer =
-        name.substr(std::string_view(contract_prefix).size());
+    const auto customer = name.substr(std::string_view(contract_prefix).size());
     auto parsed = parse_contract(customer, value.generation, value.json);
     if (!parsed)
-        return reject_document(board, name, value.generation,
-                               parsed.error());
+        return reject_document(board, name, value.generation, parsed.error());
     const auto apart = check_overlap(parsed.value(), board.contracts);
     if (!apart)
-        return reject_document(board, name, value.generation,
-                               apart.error());
+        return reject_document(board, name, value.generation, apart.error());
     auto &all = board.contracts;
     const auto it =
         std::find_if(all.begin(), all.end(), [&](const contract &one) {
@@ -139,16 +135,14 @@
         if (name == balancer_list)
             apply_balancers(board, slice, now);
     } catch (const json::exception &problem) {
-        return reject_document(
-            board, name, value.generation,
-            {error_kind::platform_refused, problem.what()});
+        return reject_document(board, name, value.generation,
+                               {error_kind::platform_refused, problem.what()});
     }
     return true;
 }
 
 auto send_document(const blackboard &board, const peer_state &peer,
-                   const std::string &name, control_actions &actions)
-    -> void {
+                   const std::string &name, control_actions &actions) -> void {
     const auto it = board.documents.find(name);
     if (it == board.documents.end())
         return;
@@ -198,9 +192,8 @@
     if (value.generation <= generation_of(board, name))
         return false;
     const auto is_contract = name.starts_with(contract_prefix);
-    const auto taken = is_contract
-                           ? apply_contract(board, name, value)
-                           : apply_live_list(board, name, value, now);
+    const auto taken = is_contract ? apply_contract(board, name, value)
+                                   : apply_live_list(board, name, value, now);
     if (!taken)
         return false;
     board.documents[name] = value;
@@ -241,8 +234,8 @@
                  time_point now, control_actions &actions) -> void {
     const auto &body = message.document();
     accept_document(board, body.name(),
-                    {.generation = body.generation(), .json = body.json()},
-                    now, actions);
+                    {.generation = body.generation(), .json = body.json()}, now,
+                    actions);
 }
 
 auto offer_versions(const blackboard &board, const peer_state &peer,
--- a/src/libdogwoodtrack/flow_context.hpp
+++ b/src/libdogwoodtrack/flow_context.hpp
@@ -18,6 +18,7 @@
     flow_entry *entry;
     packet_event event;
     std::uint8_t hops;
+    std::uint32_t asker; ///< balancer that relayed first, 0 if this one
     time_point now;
 };
 
@@ -48,8 +49,7 @@
 
 /// Decides as the owner of `domain`. Precondition: this instance owns it.
 auto decide_as_owner(flow_context &it, relay_kind kind,
-                     const domain_route &domain, const endpoint &hint)
-    -> void;
+                     const domain_route &domain, const endpoint &hint) -> void;
 
 /// Handles a decision of the owner that this instance replicates.
 auto follow_owner(flow_context &it, const relay_header &header) -> void;
@@ -80,8 +80,7 @@
                  bool reset) -> void;
 
 /// Notes a packet of the flow.
-auto touch_flow(packet_state &state, flow_entry &entry, time_point now)
-    -> void;
+auto touch_flow(packet_state &state, flow_entry &entry, time_point now) -> void;
 
 /// Notes a packet that shows that the upstream has answered the flow.
 auto confirm_flow(packet_state &state, flow_entry &entry, time_point now)
--- a/src/libdogwoodtrack/flow_records.cpp
+++ b/src/libdogwoodtrack/flow_records.cpp
@@ -22,17 +22,21 @@
 
 auto holds_place(const flow_entry &entry) -> bool {
     return entry.role == flow_role::authoritative &&
-           entry.phase != flow_phase::closed &&
-           entry.forwarded_domain() == 0 && entry.upstream.port != 0;
+           entry.phase != flow_phase::closed && entry.forwarded_domain() == 0 &&
+           entry.upstream.port != 0;
 }
 
+// Only flows of this failure domain's upstreams use places counted here:
+// the owner of another domain counts its own.
 auto load_of(const packet_state &state, const flow_entry &entry)
     -> upstream_load * {
     if (!state.view)
         return nullptr;
     const auto *upstream =
         state.view->find_upstream(entry.upstream, entry.key.protocol);
-    return upstream == nullptr ? nullptr : upstream->load.get();
+    const auto counted = upstream != nullptr &&
+                         upstream->failure_domain == state.view->failure_domain;
+    return counted ? upstream->load.get() : nullptr;
 }
 
 auto give_place_back(const packet_state &state, const flow_entry &entry)
@@ -69,13 +73,12 @@
         state.view->find_service(entry.key.service, entry.key.protocol);
     if (service == nullptr)
         return true;
-    const auto *domain =
-        find_domain(*service, state.view->failure_domain);
+    const auto *domain = find_domain(*service, state.view->failure_domain);
     return domain != nullptr && domain->owner == state.view->self;
 }
 
-auto is_expired(packet_state &state, const flow_entry &entry,
-                std::uint32_t now) -> bool {
+auto is_expired(packet_state &state, const flow_entry &entry, std::uint32_t now)
+    -> bool {
     const auto idle = now - entry.last_seen;
     if (unanswered(entry) && judges(state, entry) &&
         idle > ticks(opening_hold)) {
@@ -158,8 +161,7 @@
         give_place_back(state, entry);
         return true;
     });
-    state.counters.flows.store(state.flows.size(),
-                               std::memory_order_relaxed);
+    state.counters.flows.store(state.flows.size(), std::memory_order_relaxed);
 }
 
 auto import_record(packet_state &state, const flow_record &record,
@@ -174,8 +176,7 @@
     // What arrived with a packet is newer than a copy.
     if (known != nullptr && known->role == flow_role::authoritative)
         return true;
-    auto *entry =
-        bind_flow(state, record.key, record.upstream, false, now);
+    auto *entry = bind_flow(state, record.key, record.upstream, false, now);
     if (entry == nullptr)
         return false;
     confirm_flow(state, *entry, now);
@@ -186,13 +187,11 @@
                     transport protocol, milliseconds age, std::size_t cursor,
                     std::size_t slots, time_point now,
                     std::vector<flow_record> &out) -> std::size_t {
-    const auto since = state.tick(now) - std::min(state.tick(now),
-                                                  ticks(age));
-    const auto next = state.flows.visit_from(
-        cursor, slots, [&](const flow_entry &entry) {
+    const auto since = state.tick(now) - std::min(state.tick(now), ticks(age));
+    const auto next =
+        state.flows.visit_from(cursor, slots, [&](const flow_entry &entry) {
             if (entry.role != flow_role::authoritative ||
-                entry.key.service != service ||
-                entry.key.protocol != protocol)
+                entry.key.service != service || entry.key.protocol != protocol)
                 return;
             const auto closed = entry.phase == flow_phase::closed;
             if (entry.opened < since && !(closed && entry.last_seen >= since))
@@ -210,9 +209,8 @@
     const auto since =
         state.tick(now) - std::min(state.tick(now), ticks(window));
     state.flows.erase_if([&](const flow_entry &entry) {
-        const auto doubtful =
-            entry.role == flow_role::authoritative &&
-            entry.confirmed == 0 && entry.opened >= since;
+        const auto doubtful = entry.role == flow_role::authoritative &&
+                              entry.confirmed == 0 && entry.opened >= since;
         if (doubtful)
             give_place_back(state, entry);
         return doubtful;
--- a/src/libdogwoodtrack/flow_table.cpp
+++ b/src/libdogwoodtrack/flow_table.cpp
@@ -18,8 +18,7 @@
 
 flow_table::flow_table(std::size_t capacity)
     : slots_(capacity * slots_numerator / slots_denominator + 8),
-      capacity_(capacity) {
-}
+      capacity_(capacity) {}
 
 auto flow_table::home_of(const flow_key &key) const -> std::size_t {
     const auto wide =
@@ -65,8 +64,8 @@
     auto hole = at;
     for (auto i = next(at); occupied(slots_[i]); i = next(i)) {
         const auto home = home_of(slots_[i].key);
-        const auto reachable = hole <= i ? (home <= hole || home > i)
-                                         : (home <= hole && home > i);
+        const auto reachable =
+            hole <= i ? (home <= hole || home > i) : (home <= hole && home > i);
         if (!reachable)
             continue;
         slots_[hole] = slots_[i];
@@ -108,8 +107,8 @@
     return cursor;
 }
 
-auto flow_table::erase_if(
-    const std::function<bool(const flow_entry &)> &drop) -> void {
+auto flow_table::erase_if(const std::function<bool(const flow_entry &)> &drop)
+    -> void {
     std::vector<flow_key> dropped;
     for_each([&](const flow_entry &entry) {
         if (drop(entry))
--- a/src/libdogwoodtrack/forwarding.cpp
+++ b/src/libdogwoodtrack/forwarding.cpp
@@ -10,8 +10,7 @@
               const flow_entry *entry) -> packet_event {
     if (inner.protocol == transport::udp) {
         const auto opening =
-            from_caller &&
-            (entry == nullptr || entry->forwarded_domain() != 0);
+            from_caller && (entry == nullptr || entry->forwarded_domain() != 0);
         return opening ? packet_event::opening : packet_event::data;
     }
     if ((inner.tcp_flags & (tcp_fin | tcp_rst)) != 0)
@@ -38,8 +37,7 @@
     if (const auto *service =
             view.find_service(inner.destination, inner.protocol))
         return {.service = service};
-    if (const auto *upstream =
-            view.find_upstream(inner.source, inner.protocol))
+    if (const auto *upstream = view.find_upstream(inner.source, inner.protocol))
         return {.service = &view.services[upstream->service],
                 .upstream = upstream};
     return {};
@@ -58,6 +56,8 @@
         return packet_counter::relayed_refresh;
     case relay_kind::chain:
         return packet_counter::relayed_chain;
+    case relay_kind::found:
+        return packet_counter::relayed_found;
     case relay_kind::answer:
         break;
     }
@@ -70,8 +70,7 @@
     const auto &state = it.state;
     const auto last = it.entry->last_refresh;
     if (state.tick(it.now) - last >=
-        static_cast<std::uint32_t>(state.options.refresh_interval /
-                                   flow_tick))
+        static_cast<std::uint32_t>(state.options.refresh_interval / flow_tick))
         return true;
     return last < state.tick(domain.owned_since);
 }
@@ -97,8 +96,7 @@
 auto handle_by_hash(flow_context &it) -> void {
     if (it.from_upstream != nullptr)
         return send_onward(it, it.from_upstream->address);
-    const auto *upstream =
-        hash_upstream(*it.state.view, it.service, it.hash);
+    const auto *upstream = hash_upstream(*it.state.view, it.service, it.hash);
     if (upstream == nullptr)
         return drop_packet(it.state, drop_kind::no_owner);
     send_onward(it, upstream->address);
@@ -106,8 +104,7 @@
 
 auto handle_caller_data(flow_context &it) -> void {
     const auto *domain = home_domain(it);
-    const auto known =
-        it.entry != nullptr && it.entry->forwarded_domain() == 0;
+    const auto known = it.entry != nullptr && it.entry->forwarded_domain() == 0;
     if (known) {
         const auto refresh = domain != nullptr && domain->owner != 0 &&
                              domain->owner != it.state.view->self &&
@@ -135,7 +132,7 @@
               *domain);
 }
 
-auto learn_flow(flow_context &it) -> void {
+auto learn_flow(flow_context &it, const endpoint &upstream) -> void {
     auto *entry = it.entry;
     if (entry == nullptr) {
         entry = it.state.flows.insert(it.key);
@@ -143,7 +140,7 @@
             return;
         count(it.state, packet_counter::learned);
     }
-    entry->upstream = it.from_upstream->address;
+    entry->upstream = upstream;
     entry->role = flow_role::learned;
     entry->phase = flow_phase::established;
     entry->opened = it.state.tick(it.now);
@@ -152,6 +149,28 @@
     it.entry = entry;
 }
 
+// A flow that another domain took keeps its record; what is learned is
+// where that domain placed it.
+auto learn_upstream(flow_context &it, const endpoint &upstream) -> void {
+    if (it.entry == nullptr || it.entry->role == flow_role::learned)
+        return learn_flow(it, upstream);
+    if (it.entry->forwarded_domain() != 0)
+        it.entry->upstream = upstream;
+    confirm_flow(it.state, *it.entry, it.now);
+}
+
+// The owner has answered a lookup with the packet itself: this balancer
+// knows the flow from now on and sends the packet on.
+auto use_found(flow_context &it, const relay_header &header) -> void {
+    const auto *upstream =
+        it.state.view->find_upstream(header.upstream, it.key.protocol);
+    if (it.from_upstream != nullptr || upstream == nullptr ||
+        &it.state.view->services[upstream->service] != &it.service)
+        return drop_packet(it.state, drop_kind::bad_relay);
+    learn_upstream(it, header.upstream);
+    send_onward(it, header.upstream);
+}
+
 auto take_answer_to_owner(flow_context &it, relay_kind kind) -> void {
     const auto *domain =
         find_domain(it.service, it.from_upstream->failure_domain);
@@ -162,24 +181,24 @@
 
 auto handle_upstream(flow_context &it) -> void {
     const auto opening = it.event == packet_event::opening;
+    const auto &from = it.from_upstream->address;
     const auto learned =
         it.entry == nullptr || it.entry->role == flow_role::learned;
     const auto differs = it.entry != nullptr &&
-                         it.entry->upstream != it.from_upstream->address;
+                         it.entry->forwarded_domain() == 0 &&
+                         it.entry->upstream != from;
     if (it.event == packet_event::ending) {
         if (it.entry != nullptr && learned && !differs)
             it.entry->phase = flow_phase::closing;
         return take_answer_to_owner(it, relay_kind::gone);
     }
-    if (learned && (opening || !differs))
-        learn_flow(it);
-    else if (!differs)
-        confirm_flow(it.state, *it.entry, it.now);
+    if (!differs || (learned && opening))
+        learn_upstream(it, from);
     if (opening || (learned && differs))
         return take_answer_to_owner(it, relay_kind::answer);
-    if (differs && it.entry->forwarded_domain() == 0)
+    if (differs)
         return drop_packet(it.state, drop_kind::stale_answer);
-    send_onward(it, it.from_upstream->address);
+    send_onward(it, from);
 }
 
 // A relayed packet for a domain this instance does not own goes on to the
@@ -187,6 +206,8 @@
 auto handle_relayed(flow_context &it, const relay_header &header) -> void {
     if (header.kind == relay_kind::chain)
         return follow_owner(it, header);
+    if (header.kind == relay_kind::found)
+        return use_found(it, header);
     const auto *domain = find_domain(it.service, header.failure_domain);
     if (domain == nullptr)
         return drop_packet(it.state, drop_kind::bad_relay);
@@ -200,13 +221,21 @@
 auto to_string(packet_counter counter) -> std::string_view {
     static constexpr std::array<std::string_view, static_cast<std::size_t>(
                                                       packet_counter::count_)>
-        names{"received",        "forwarded",
-              "answered",        "relayed_open",
-              "relayed_lookup",  "relayed_close",
-              "relayed_refresh", "relayed_chain",
-              "relayed_answer",  "placed",
-              "placed_by_default", "forwarded_to_domain",
-              "refused",         "learned",
+        names{"received",
+              "forwarded",
+              "answered",
+              "relayed_open",
+              "relayed_lookup",
+              "relayed_close",
+              "relayed_refresh",
+              "relayed_chain",
+              "relayed_answer",
+              "relayed_found",
+              "placed",
+              "placed_by_default",
+              "forwarded_to_domain",
+              "refused",
+              "learned",
               "adopted"};
     return names[static_cast<std::size_t>(counter)];
 }
@@ -243,8 +272,7 @@
         rewrite_destination(it.inner, upstream);
         count(it.state, packet_counter::forwarded);
     }
-    it.state.out.push_back(
-        {it.state.options.fabric, wrap_plain(it.inner)});
+    it.state.out.push_back({it.state.options.fabric, wrap_plain(it.inner)});
 }
 
 auto relay_packet(flow_context &it, std::uint32_t to, relay_header header)
@@ -255,6 +283,7 @@
     if (it.hops >= hop_limit)
         return drop_packet(it.state, drop_kind::too_many_hops);
     header.hops = static_cast<std::uint8_t>(it.hops + 1);
+    decrement_time_to_live(it.inner);
     count(it.state, relay_counter(header.kind));
     it.state.out.push_back(
         {*link, wrap_relay(it.inner, header, it.state.options.key)});
@@ -273,6 +302,7 @@
                  {.kind = kind,
                   .event = kind,
                   .failure_domain = domain.failure_domain,
+                  .owner = it.asker != 0 ? it.asker : it.state.view->self,
                   .upstream = known});
 }
 
@@ -289,8 +319,8 @@
     if (it.entry != nullptr) {
         if (const auto id = it.entry->forwarded_domain(); id != 0)
             return find_domain(it.service, id);
-        const auto *upstream = it.state.view->find_upstream(
-            it.entry->upstream, it.key.protocol);
+        const auto *upstream =
+            it.state.view->find_upstream(it.entry->upstream, it.key.protocol);
         if (upstream != nullptr)
             return find_domain(it.service, upstream->failure_domain);
     }
@@ -313,8 +343,8 @@
     const auto match = match_packet(view, inner);
     if (match.service == nullptr)
         return 0;
-    return hash_flow(key_of(inner, match.service->address,
-                            match.upstream == nullptr));
+    return hash_flow(
+        key_of(inner, match.service->address, match.upstream == nullptr));
 }
 
 auto handle_parsed(packet_state &state, outer_packet &packet, time_point now)
@@ -323,8 +353,7 @@
     if (match.service == nullptr)
         return drop_packet(state, drop_kind::unknown_destination);
     const auto from_caller = match.upstream == nullptr;
-    const auto key =
-        key_of(packet.inner, match.service->address, from_caller);
+    const auto key = key_of(packet.inner, match.service->address, from_caller);
     const auto by_hash = state.options.placement == placement_mode::hash;
     auto *entry = by_hash ? nullptr : state.flows.find(key);
     flow_context it{.state = state,
@@ -335,8 +364,8 @@
                     .hash = hash_flow(key),
                     .entry = entry,
                     .event = event_of(packet.inner, from_caller, entry),
-                    .hops = packet.relay ? packet.relay->hops
-                                         : std::uint8_t{0},
+                    .hops = packet.relay ? packet.relay->hops : std::uint8_t{0},
+                    .asker = packet.relay ? packet.relay->owner : 0,
                     .now = now};
     if (by_hash)
         return handle_by_hash(it);
--- a/src/libdogwoodtrack/health.cpp
+++ b/src/libdogwoodtrack/health.cpp
@@ -26,16 +26,15 @@
 
 auto observe(blackboard &board, const service_route &service,
              const upstream_route &it) -> observation {
-    auto &health =
-        board.health[route_key(it.address, service.protocol)];
+    auto &health = board.health[route_key(it.address, service.protocol)];
     const auto retried = it.load->retried.load();
     const auto reset = it.load->reset.load();
     const auto answered = it.load->answered.load();
-    const observation seen{
-        .upstream = &it,
-        .health = &health,
-        .failures = (retried - health.retried) + (reset - health.reset),
-        .answers = answered - health.answered};
+    const observation seen{.upstream = &it,
+                           .health = &health,
+                           .failures = (retried - health.retried) +
+                                       (reset - health.reset),
+                           .answers = answered - health.answered};
     health.retried = retried;
     health.reset = reset;
     health.answered = answered;
@@ -71,13 +70,11 @@
     if (median <= 0 || us <= median * tolerated_slowness)
         return upstream_load::full_weight;
     const auto share = median * tolerated_slowness / us;
-    return std::max(weight_floor,
-                    static_cast<std::uint32_t>(
-                        upstream_load::full_weight * share));
+    return std::max(weight_floor, static_cast<std::uint32_t>(
+                                      upstream_load::full_weight * share));
 }
 
-auto eject(blackboard &board, const observation &it, time_point now)
-    -> void {
+auto eject(blackboard &board, const observation &it, time_point now) -> void {
     it.health->ejected = true;
     it.health->ejected_until = now + ejection;
     it.upstream->load->weight.store(0);
@@ -120,8 +117,8 @@
 auto ramp(const observation &it, time_point now) -> void {
     const std::chrono::duration<double> since = now - it.health->returned;
     const std::chrono::duration<double> whole = slow_start;
-    const auto share = slow_start_floor +
-                       (1 - slow_start_floor) * (since / whole);
+    const auto share =
+        slow_start_floor + (1 - slow_start_floor) * (since / whole);
     it.upstream->load->weight.store(
         static_cast<std::uint32_t>(upstream_load::full_weight * share));
 }
@@ -166,15 +163,12 @@
                 continue;
             std::vector<observation> all;
             for (const auto index : domain.upstreams)
-                all.push_back(
-                    observe(board, service, view->upstreams[index]));
+                all.push_back(observe(board, service, view->upstreams[index]));
             judge(board, all, now);
         }
     }
 }
 
-
-
 auto report_loads(blackboard &board) -> void {
     if (!board.view)
         return;
@@ -188,8 +182,7 @@
     }
 }
 
-auto troubled_services(const blackboard &board)
-    -> std::vector<std::uint32_t> {
+auto troubled_services(const blackboard &board) -> std::vector<std::uint32_t> {
     std::vector<std::uint32_t> troubled;
     if (!board.view)
         return troubled;
@@ -201,8 +194,8 @@
     for (const auto &service : board.view->services) {
         for (const auto &domain : service.domains) {
             if (domain.owner == board.self.id &&
-                std::none_of(domain.upstreams.begin(),
-                             domain.upstreams.end(), has_room))
+                std::none_of(domain.upstreams.begin(), domain.upstreams.end(),
+                             has_room))
                 troubled.push_back(service.id);
         }
     }
--- a/src/libdogwoodtrack/health.hpp
+++ b/src/libdogwoodtrack/health.hpp
@@ -16,7 +16,6 @@
 
 /// Services of this instance's failure domain that have no room left,
 /// judged as their owner.
-auto troubled_services(const blackboard &board)
-    -> std::vector<std::uint32_t>;
+auto troubled_services(const blackboard &board) -> std::vector<std::uint32_t>;
 
 } // namespace dogwoodtrack
--- a/src/libdogwoodtrack/link.cpp
+++ b/src/libdogwoodtrack/link.cpp
@@ -54,8 +54,7 @@
     }
 };
 
-link::link(std::unique_ptr<state> s) : state_(std::move(s)) {
-}
+link::link(std::unique_ptr<state> s) : state_(std::move(s)) {}
 link::link(link &&) noexcept = default;
 auto link::operator=(link &&) noexcept -> link & = default;
 link::~link() = default;
@@ -77,9 +76,9 @@
                sizeof address) != 0)
         return socket_error("bind", local);
     for (std::size_t i = 0; i < link_batch; ++i) {
-        s->receive_vectors[i] = {
-            .iov_base = s->received[i].bytes.data() + packet_headroom,
-            .iov_len = packet_limit};
+        s->receive_vectors[i] = {.iov_base = s->received[i].bytes.data() +
+                                             packet_headroom,
+                                 .iov_len = packet_limit};
         auto &header = s->receive_headers[i].msg_hdr;
         header.msg_iov = &s->receive_vectors[i];
         header.msg_iovlen = 1;
@@ -124,9 +123,9 @@
     -> void {
     auto &s = *state_;
     s.targets[s.queued] = to_sockaddr(to);
-    s.send_vectors[s.queued] = {
-        .iov_base = const_cast<std::uint8_t *>(outer.data()),
-        .iov_len = outer.size()};
+    s.send_vectors[s.queued] = {.iov_base =
+                                    const_cast<std::uint8_t *>(outer.data()),
+                                .iov_len = outer.size()};
     if (++s.queued == link_batch)
         flush();
 }
@@ -143,9 +142,8 @@
     auto &s = *state_;
     std::size_t done = 0;
     while (done < s.queued) {
-        const auto n =
-            ::sendmmsg(s.fd, s.send_headers.data() + done,
-                       static_cast<unsigned>(s.queued - done), 0);
+        const auto n = ::sendmmsg(s.fd, s.send_headers.data() + done,
+                                  static_cast<unsigned>(s.queued - done), 0);
         if (n <= 0) {
             // The first packet of the rest is the one that failed.
             ++s.failures;
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -64,8 +64,7 @@
             if (domain.failure_domain != board.self.failure_domain ||
                 !domain.load->known.load())
                 continue;
-            if (beat.loads_size() ==
-                static_cast<int>(loads_per_heartbeat))
+            if (beat.loads_size() == static_cast<int>(loads_per_heartbeat))
                 return;
             auto *load = beat.add_loads();
             load->set_service(service.id);
@@ -121,8 +120,7 @@
     return contacts;
 }
 
-auto send_state_abroad(const blackboard &board,
-                       const wire::MemberState &state,
+auto send_state_abroad(const blackboard &board, const wire::MemberState &state,
                        control_actions &actions) -> void {
     for (const auto *peer : domain_contacts(board)) {
         auto message = make_heartbeat(board);
@@ -154,12 +152,11 @@
     peer.info.name = state.name();
     peer.domain_name = state.failure_domain();
     peer.info.failure_domain = hash_name(state.failure_domain());
-    peer.info.link = {
-        .address = state.address(),
-        .port = static_cast<std::uint16_t>(state.link_port())};
-    peer.info.control = {
-        .address = state.address(),
-        .port = static_cast<std::uint16_t>(state.control_port())};
+    peer.info.link = {.address = state.address(),
+                      .port = static_cast<std::uint16_t>(state.link_port())};
+    peer.info.control = {.address = state.address(),
+                         .port =
+                             static_cast<std::uint16_t>(state.control_port())};
     peer.incarnation = state.incarnation();
     peer.version = state.version();
     peer.info.status = static_cast<member_status>(state.status());
@@ -168,8 +165,8 @@
 }
 
 // A peer claims that this instance is dead: a higher version refutes it.
-auto refute(blackboard &board, const wire::MemberState &state,
-            time_point now, control_actions &actions) -> void {
+auto refute(blackboard &board, const wire::MemberState &state, time_point now,
+            control_actions &actions) -> void {
     if (state.incarnation() != board.incarnation ||
         state.version() < board.version ||
         static_cast<member_status>(state.status()) == board.self.status)
@@ -179,8 +176,8 @@
 }
 
 auto merge_state(blackboard &board, const wire::MemberState &state,
-                 std::uint32_t from, time_point now,
-                 control_actions &actions) -> void {
+                 std::uint32_t from, time_point now, control_actions &actions)
+    -> void {
     if (state.status() > static_cast<std::uint32_t>(member_status::dead) ||
         state.name().empty())
         return;
@@ -235,12 +232,11 @@
     send_state_abroad(board, state, actions);
 }
 
-auto judge_silence(blackboard &board, time_point now,
-                   control_actions &actions) -> void {
+auto judge_silence(blackboard &board, time_point now, control_actions &actions)
+    -> void {
     for (auto &[id, peer] : board.peers) {
         if (peer.info.failure_domain != board.self.failure_domain ||
-            peer.info.status == member_status::dead ||
-            peer.incarnation == 0)
+            peer.info.status == member_status::dead || peer.incarnation == 0)
             continue;
         if (now - peer.heard > board.options.dead_after)
             declare_dead(board, peer, now, actions);
@@ -262,9 +258,8 @@
             board.cut_domains.insert(domain);
         else
             board.cut_domains.erase(domain);
-        board.events->record(cut ? event_kind::domain_cut
-                                 : event_kind::domain_healed,
-                             name);
+        board.events->record(
+            cut ? event_kind::domain_cut : event_kind::domain_healed, name);
         board.view_stale = true;
     }
 }
@@ -279,8 +274,7 @@
         greeting.mutable_heartbeat()->set_want_state(true);
         for (const auto *peer : neighbours_of(board))
             send_to(actions, *peer,
-                    peer->info.status == member_status::dead ? greeting
-                                                             : beat);
+                    peer->info.status == member_status::dead ? greeting : beat);
     }
     if (now < board.next_domain_heartbeat)
         return;
@@ -292,8 +286,7 @@
     for (const auto *peer : domain_contacts(board)) {
         auto message = beat;
         if (peer->incarnation == 0)
-            *message.mutable_heartbeat()->add_states() =
-                describe_self(board);
+            *message.mutable_heartbeat()->add_states() = describe_self(board);
         send_to(actions, *peer, message);
     }
     add_all_states(board, *beat.mutable_heartbeat());
@@ -305,8 +298,7 @@
 
 auto counts_in_majority(const blackboard &board, const peer_state &peer)
     -> bool {
-    if (peer.info.failure_domain != board.self.failure_domain ||
-        peer.graceful)
+    if (peer.info.failure_domain != board.self.failure_domain || peer.graceful)
         return false;
     if (peer.info.status != member_status::dead)
         return true;
@@ -325,8 +317,7 @@
     return digest;
 }
 
-auto neighbours_of(const blackboard &board)
-    -> std::vector<const peer_state *> {
+auto neighbours_of(const blackboard &board) -> std::vector<const peer_state *> {
     // The map is ordered by identifier, so that the ring starts behind self.
     std::vector<const peer_state *> ring;
     std::vector<const peer_state *> front;
@@ -342,8 +333,7 @@
     return ring;
 }
 
-auto note_heard(blackboard &board, std::uint32_t from, time_point now)
-    -> void {
+auto note_heard(blackboard &board, std::uint32_t from, time_point now) -> void {
     const auto it = board.peers.find(from);
     if (it == board.peers.end())
         return;
@@ -369,8 +359,7 @@
     const auto outdated = beat.incarnation() != peer.incarnation ||
                           beat.version() > peer.version ||
                           peer.info.status == member_status::dead;
-    const auto views_differ =
-        beat.members_digest() != members_digest(board);
+    const auto views_differ = beat.members_digest() != members_digest(board);
     if (!beat.want_state() && !outdated && !views_differ)
         return;
     if (!beat.want_state() && now < board.next_anti_entropy && !outdated)
@@ -380,13 +369,12 @@
     if (outdated || views_differ)
         add_all_states(board, *reply.mutable_heartbeat());
     // An answer to an answer would never end.
-    reply.mutable_heartbeat()->set_want_state(outdated &&
-                                              !beat.want_state());
+    reply.mutable_heartbeat()->set_want_state(outdated && !beat.want_state());
     send_to(actions, peer, reply);
 }
 
-auto notice_pause(blackboard &board, time_point now,
-                  control_actions &actions) -> void {
+auto notice_pause(blackboard &board, time_point now, control_actions &actions)
+    -> void {
     const auto last = board.last_tick;
     board.last_tick = now;
     if (last == time_point{} || now - last < board.options.lease)
@@ -429,16 +417,14 @@
     for (const auto &[name, it] : board.balancers) {
         const auto id = hash_name(name);
         if (it.state.ready && id != board.self.id &&
-            it.failure_domain == board.domain_name &&
-            !board.peers.contains(id))
+            it.failure_domain == board.domain_name && !board.peers.contains(id))
             heard.emplace_back(time_point{}, id);
     }
     std::sort(heard.begin(), heard.end(), std::greater<>());
     const auto n = heard.size();
     auto needed = n / 2 + 1;
     const auto lowest = std::min_element(
-        heard.begin(), heard.end(),
-        [](const auto &left, const auto &right) {
+        heard.begin(), heard.end(), [](const auto &left, const auto &right) {
             return left.second < right.second;
         });
     if (n % 2 == 0 &&
@@ -459,8 +445,7 @@
 auto on_balancers_listed(blackboard &board, time_point now) -> void {
     for (const auto &[name, it] : board.balancers) {
         const auto id = hash_name(name);
-        if (id == board.self.id || board.peers.contains(id) ||
-            !it.state.ready)
+        if (id == board.self.id || board.peers.contains(id) || !it.state.ready)
             continue;
         auto &peer = board.peers[id];
         peer.info.id = id;
@@ -474,8 +459,8 @@
     }
 }
 
-auto announce_self(blackboard &board, time_point now,
-                   control_actions &actions) -> void {
+auto announce_self(blackboard &board, time_point now, control_actions &actions)
+    -> void {
     board.view_stale = true;
     board.next_heartbeat = now + board.options.heartbeat;
     const auto state = describe_self(board);
--- a/src/libdogwoodtrack/membership.hpp
+++ b/src/libdogwoodtrack/membership.hpp
@@ -9,13 +9,12 @@
                   time_point now, control_actions &actions) -> void;
 
 /// Any message is a sign of life of its sender.
-auto note_heard(blackboard &board, std::uint32_t from, time_point now)
-    -> void;
+auto note_heard(blackboard &board, std::uint32_t from, time_point now) -> void;
 
 /// Notices a pause of this process. After one, this instance owns nothing
 /// until it has copied what changed. Call before reading any message.
-auto notice_pause(blackboard &board, time_point now,
-                  control_actions &actions) -> void;
+auto notice_pause(blackboard &board, time_point now, control_actions &actions)
+    -> void;
 
 /// Sends due heartbeats and judges silence.
 auto tick_membership(blackboard &board, time_point now,
@@ -30,13 +29,12 @@
 auto on_balancers_listed(blackboard &board, time_point now) -> void;
 
 /// Announces a change of this instance's own state to its neighbours.
-auto announce_self(blackboard &board, time_point now,
-                   control_actions &actions) -> void;
+auto announce_self(blackboard &board, time_point now, control_actions &actions)
+    -> void;
 
 /// Peers that get this instance's heartbeats: the next ones on the ring of
 /// the failure domain.
-auto neighbours_of(const blackboard &board)
-    -> std::vector<const peer_state *>;
+auto neighbours_of(const blackboard &board) -> std::vector<const peer_state *>;
 
 /// Digest of all documents held, the same on instances that hold the same.
 auto documents_digest(const blackboard &board) -> std::uint64_t;
--- a/src/libdogwoodtrack/metrics.cpp
+++ b/src/libdogwoodtrack/metrics.cpp
@@ -24,15 +24,12 @@
 
 constexpr std::array<metric_axis, metric_count> axes{
     metric_axis{"decision_time_ns", 10, 1e7},
-    metric_axis{"batch_time_us", 1, 1e6},
-    metric_axis{"batch_size", 1, 128},
-    metric_axis{"relay_hops", 1, 16},
-    metric_axis{"spread_time_ms", 0.1, 1e5}};
+    metric_axis{"batch_time_us", 1, 1e6}, metric_axis{"batch_size", 1, 128},
+    metric_axis{"relay_hops", 1, 16}, metric_axis{"spread_time_ms", 0.1, 1e5}};
 
 using axis_type = bh::axis::regular<double, bh::axis::transform::log>;
 using storage_type = bh::dense_storage<bh::accumulators::count<double, true>>;
-using histogram_type =
-    bh::histogram<std::tuple<axis_type>, storage_type>;
+using histogram_type = bh::histogram<std::tuple<axis_type>, storage_type>;
 
 auto make_one(const metric_axis &axis) -> histogram_type {
     return {std::make_tuple(axis_type(bins, axis.low, axis.high)),
@@ -85,12 +82,10 @@
 auto metric_set::to_prometheus() const -> std::string {
     std::string out;
     for (std::size_t i = 0; i < metric_count; ++i) {
-        const std::string name =
-            std::string("dogwoodtrack_") + axes[i].name;
+        const std::string name = std::string("dogwoodtrack_") + axes[i].name;
         out += fmt::format("# TYPE {} histogram\n", name);
         double sum = 0;
-        for (auto &&cell :
-             bh::indexed(state_->all[i], bh::coverage::all)) {
+        for (auto &&cell : bh::indexed(state_->all[i], bh::coverage::all)) {
             sum += cell->value();
             if (cell.index() < static_cast<int>(bins))
                 out += fmt::format("{}_bucket{{le=\"{:.4g}\"}} {}\n", name,
--- a/src/libdogwoodtrack/operator_port.cpp
+++ b/src/libdogwoodtrack/operator_port.cpp
@@ -85,8 +85,7 @@
     ordered_json troubled = ordered_json::array();
     for (const auto &[name, state] : board.conditions) {
         if (state.set)
-            troubled.push_back({{"service", name},
-                                {"reason", state.reason}});
+            troubled.push_back({{"service", name}, {"reason", state.reason}});
     }
     ordered_json synced = ordered_json::array();
     for (const auto id : board.self.synced)
@@ -114,8 +113,8 @@
                    {"heard_ms", 0}});
     const auto now = monotonic::now();
     for (const auto &[id, peer] : it.board.peers) {
-        const auto silent = std::chrono::duration_cast<milliseconds>(
-            now - peer.heard);
+        const auto silent =
+            std::chrono::duration_cast<milliseconds>(now - peer.heard);
         out.push_back(
             {{"name", peer.info.name},
              {"failure_domain", peer.domain_name},
@@ -191,8 +190,8 @@
                            value.get<std::uint64_t>());
     const auto drops = drops_json(it);
     for (const auto &[name, value] : drops.items())
-        out += fmt::format("dogwoodtrack_drops_total{{kind=\"{}\"}} {}\n",
-                           name, value.get<std::uint64_t>());
+        out += fmt::format("dogwoodtrack_drops_total{{kind=\"{}\"}} {}\n", name,
+                           value.get<std::uint64_t>());
     out += fmt::format("dogwoodtrack_flows {}\n", open_flows(it));
     const auto &usage = it.channel.usage();
     out += fmt::format("dogwoodtrack_control_sent_bytes_total {}\n"
@@ -223,8 +222,7 @@
 } // namespace
 
 struct operator_port::state {
-    explicit state(control_context &context) : control(context) {
-    }
+    explicit state(control_context &context) : control(context) {}
 
     control_context &control;
     httplib::Server server;
@@ -257,9 +255,9 @@
             std::from_chars(text.data(), text.data() + text.size(), after);
             return events_json(it, after).dump();
         });
-        answer("/metrics",
-               [&](const auto &) { return prometheus_text(it); },
-               "text/plain; version=0.0.4");
+        answer(
+            "/metrics", [&](const auto &) { return prometheus_text(it); },
+            "text/plain; version=0.0.4");
         if (!it.options.fault_injection)
             return;
         server.Post("/fault", [&](const httplib::Request &request,
@@ -269,9 +267,7 @@
     }
 };
 
-operator_port::operator_port(std::unique_ptr<state> s)
-    : state_(std::move(s)) {
-}
+operator_port::operator_port(std::unique_ptr<state> s) : state_(std::move(s)) {}
 
 operator_port::~operator_port() {
     state_->server.stop();
@@ -289,9 +285,8 @@
     if (!s->server.bind_to_port(host_text(address.address), address.port))
         return error{error_kind::socket_failed,
                      "bind on " + to_string(address)};
-    s->thread = std::thread([raw = s.get()] {
-        raw->server.listen_after_bind();
-    });
+    s->thread =
+        std::thread([raw = s.get()] { raw->server.listen_after_bind(); });
     return std::unique_ptr<operator_port>(new operator_port(std::move(s)));
 }
 
--- a/src/libdogwoodtrack/ownership.cpp
+++ b/src/libdogwoodtrack/ownership.cpp
@@ -13,8 +13,8 @@
 // The replicas record the decision before the packet leaves the last of
 // them, so no upstream ever sees a flow that only the owner knows.
 auto send_through_replicas(flow_context &it, relay_kind event,
-                           const domain_route &domain,
-                           const endpoint &upstream) -> void {
+                           const domain_route &domain, const endpoint &upstream)
+    -> void {
     relay_header header{.kind = relay_kind::chain,
                         .event = event,
                         .chain_size = 0,
@@ -51,14 +51,12 @@
         return drop_packet(state, drop_kind::queue_full);
     count(state, packet_counter::refused);
     auto &buf = state.scratch[state.scratch_used++];
-    state.out.push_back(
-        {state.options.fabric, build_refusal(buf, it.inner)});
+    state.out.push_back({state.options.fabric, build_refusal(buf, it.inner)});
 }
 
 auto bind_and_replicate(flow_context &it, const domain_route &domain,
                         const endpoint &upstream, bool counted) -> void {
-    auto *entry =
-        bind_flow(it.state, it.key, upstream, counted, it.now);
+    auto *entry = bind_flow(it.state, it.key, upstream, counted, it.now);
     if (entry == nullptr) {
         drop_packet(it.state, drop_kind::table_full);
         return;
@@ -102,6 +100,9 @@
 auto pass_on(flow_context &it, const domain_route &domain,
              const domain_route &target) -> void {
     count(it.state, packet_counter::forwarded_to_domain);
+    // Counted at once, so that the next flows see it before the other owner
+    // reports again.
+    target.load->open.fetch_add(1, std::memory_order_relaxed);
     bind_and_replicate(it, domain,
                        {.address = target.failure_domain, .port = 0}, true);
 }
@@ -143,12 +144,9 @@
     bind_and_replicate(it, domain, upstream->address, true);
 }
 
-// The flow was seen in an answer but has no record here: another domain
-// placed it, or this instance has just become the owner.
+// The flow was seen in an answer but has no record here: this instance has
+// just become the owner.
 auto open_learned(flow_context &it, const domain_route &domain) -> void {
-    const auto *home = home_domain(it);
-    if (home != nullptr && home != &domain && home->reachable)
-        return ask_owner(it, relay_kind::open, *home);
     if (it.inner.protocol == transport::tcp)
         return reuse_or_wait(it, domain);
     count(it.state, packet_counter::adopted);
@@ -172,8 +170,8 @@
     replicate(it, relay_kind::open, domain, it.entry->upstream);
 }
 
-auto pass_lookup(flow_context &it, const domain_route &domain,
-                 relay_kind kind) -> void {
+auto pass_lookup(flow_context &it, const domain_route &domain, relay_kind kind)
+    -> void {
     const auto *next = next_domain(it, domain.failure_domain);
     if (next == nullptr)
         return drop_packet(it.state, drop_kind::unknown_flow);
@@ -184,8 +182,7 @@
     -> void {
     const auto reset = (it.inner.tcp_flags & tcp_rst) != 0;
     const auto upstream = it.entry->upstream;
-    if (!from_caller(it) && reset &&
-        it.entry->phase == flow_phase::opening)
+    if (!from_caller(it) && reset && it.entry->phase == flow_phase::opening)
         it.from_upstream->load->reset.fetch_add(1);
     note_ending(it.state, *it.entry, from_caller(it), reset);
     touch_flow(it.state, *it.entry, it.now);
@@ -204,8 +201,7 @@
         auto &load = *it.from_upstream->load;
         const auto us = waited * microseconds_per_tick;
         const auto old = load.answer_us.load(std::memory_order_relaxed);
-        load.answer_us.store(old - old / 8 + us / 8,
-                             std::memory_order_relaxed);
+        load.answer_us.store(old - old / 8 + us / 8, std::memory_order_relaxed);
         load.answered.fetch_add(1, std::memory_order_relaxed);
     }
     if (it.entry != nullptr)
@@ -218,15 +214,24 @@
     if (it.entry == nullptr)
         return pass_lookup(it, domain, kind);
     confirm_flow(it.state, *it.entry, it.now);
-    leave_chain(it, kind, it.entry->upstream);
+    const auto upstream = it.entry->upstream;
+    const auto asked = kind == relay_kind::lookup && it.asker != 0 &&
+                       it.asker != it.state.view->self && upstream.port != 0;
+    if (!asked)
+        return leave_chain(it, kind, upstream);
+    relay_packet(it, it.asker,
+                 {.kind = relay_kind::found,
+                  .event = relay_kind::found,
+                  .failure_domain = domain.failure_domain,
+                  .owner = it.state.view->self,
+                  .upstream = upstream});
 }
 
 // A refresh brings the binding along, so that a new owner that lacks the
 // record takes it over from the balancer that knows it.
 auto refresh_flow(flow_context &it, const domain_route &domain,
                   const endpoint &hint) -> void {
-    const auto *upstream =
-        it.state.view->find_upstream(hint, it.key.protocol);
+    const auto *upstream = it.state.view->find_upstream(hint, it.key.protocol);
     const auto lacking =
         it.entry == nullptr || it.entry->role == flow_role::learned;
     if (lacking) {
@@ -245,16 +250,25 @@
     replicate(it, relay_kind::refresh, domain, it.entry->upstream);
 }
 
+// The domain whose owner keeps the flow, when that may be another one than
+// the domain that was asked. Null leaves the question here.
+auto home_of_record(const flow_context &it, relay_kind kind)
+    -> const domain_route * {
+    const auto asks_owner = kind == relay_kind::open ||
+                            kind == relay_kind::close ||
+                            kind == relay_kind::refresh;
+    return asks_owner && it.entry != nullptr ? home_domain(it) : nullptr;
+}
+
 auto follow_opening(flow_context &it, const relay_header &header) -> bool {
-    const auto conflicting =
-        it.entry != nullptr && it.entry->upstream != header.upstream &&
-        it.entry->role == flow_role::authoritative &&
-        it.entry->phase != flow_phase::closed;
+    const auto conflicting = it.entry != nullptr &&
+                             it.entry->upstream != header.upstream &&
+                             it.entry->role == flow_role::authoritative &&
+                             it.entry->phase != flow_phase::closed;
     if (conflicting && it.inner.protocol == transport::tcp &&
         it.entry->initial_sequence == it.inner.tcp_sequence)
         return false;
-    it.entry =
-        bind_flow(it.state, it.key, header.upstream, false, it.now);
+    it.entry = bind_flow(it.state, it.key, header.upstream, false, it.now);
     if (it.entry == nullptr)
         return false;
     it.entry->initial_sequence = it.inner.tcp_sequence;
@@ -276,8 +290,8 @@
         break;
     case relay_kind::refresh:
         if (it.entry == nullptr || it.entry->role == flow_role::learned)
-            it.entry = bind_flow(it.state, it.key, header.upstream, false,
-                                 it.now);
+            it.entry =
+                bind_flow(it.state, it.key, header.upstream, false, it.now);
         break;
     default:
         return false;
@@ -290,8 +304,10 @@
 } // namespace
 
 auto decide_as_owner(flow_context &it, relay_kind kind,
-                     const domain_route &domain, const endpoint &hint)
-    -> void {
+                     const domain_route &domain, const endpoint &hint) -> void {
+    const auto *home = home_of_record(it, kind);
+    if (home != nullptr && home != &domain && home->reachable)
+        return ask_owner(it, kind, *home);
     switch (kind) {
     case relay_kind::open:
         return open_flow(it, domain);
@@ -313,6 +329,7 @@
     case relay_kind::lookup:
         return look_up(it, kind, domain);
     case relay_kind::chain:
+    case relay_kind::found:
         break;
     }
     drop_packet(it.state, drop_kind::bad_relay);
--- a/src/libdogwoodtrack/packet.cpp
+++ b/src/libdogwoodtrack/packet.cpp
@@ -84,14 +84,12 @@
              const endpoint &from, const endpoint &to) -> void {
     auto *ip = inner.bytes.data();
     auto *l4 = ip + inner.l4_offset;
-    store16(ip + 10,
-            adjust(load16(ip + 10), from.address, to.address, 0, 0));
+    store16(ip + 10, adjust(load16(ip + 10), from.address, to.address, 0, 0));
     auto *check = l4 + transport_checksum_offset(inner.protocol);
-    const auto absent =
-        inner.protocol == transport::udp && load16(check) == 0;
+    const auto absent = inner.protocol == transport::udp && load16(check) == 0;
     if (!absent) {
-        auto value = adjust(load16(check), from.address, to.address,
-                            from.port, to.port);
+        auto value =
+            adjust(load16(check), from.address, to.address, from.port, to.port);
         if (inner.protocol == transport::udp && value == 0)
             value = 0xffff;
         store16(check, value);
@@ -135,21 +133,21 @@
 
 auto valid_relay_kind(std::uint8_t kind) -> bool {
     return kind >= static_cast<std::uint8_t>(relay_kind::open) &&
-           kind <= static_cast<std::uint8_t>(relay_kind::gone);
+           kind <= static_cast<std::uint8_t>(relay_kind::found);
 }
 
 auto load_relay(const std::uint8_t *at) -> std::optional<relay_header> {
     if (!valid_relay_kind(at[0]) || !valid_relay_kind(at[1]) ||
         at[3] > chain_limit)
         return std::nullopt;
-    relay_header header{.kind = static_cast<relay_kind>(at[0]),
-                        .event = static_cast<relay_kind>(at[1]),
-                        .hops = at[2],
-                        .chain_size = at[3],
-                        .failure_domain = load32(at + 4),
-                        .owner = load32(at + 8),
-                        .upstream = {.address = load32(at + 12),
-                                     .port = load16(at + 16)}};
+    relay_header header{
+        .kind = static_cast<relay_kind>(at[0]),
+        .event = static_cast<relay_kind>(at[1]),
+        .hops = at[2],
+        .chain_size = at[3],
+        .failure_domain = load32(at + 4),
+        .owner = load32(at + 8),
+        .upstream = {.address = load32(at + 12), .port = load16(at + 16)}};
     for (std::size_t i = 0; i < chain_limit; ++i)
         header.chain[i] = load32(at + 20 + 4 * i);
     return header;
@@ -181,7 +179,7 @@
     inner.l4_offset = header;
     const auto *ip = bytes.data();
     const auto *l4 = ip + header;
-    inner.identification = load16(ip + 4);
+    inner.time_to_live = ip[8];
     inner.source = {.address = load32(ip + 12), .port = load16(l4)};
     inner.destination = {.address = load32(ip + 16), .port = load16(l4 + 2)};
     if (is_tcp) {
@@ -190,8 +188,7 @@
             return drop_kind::truncated;
         inner.tcp_flags = l4[13];
         inner.tcp_sequence = load32(l4 + 4);
-    } else if (load16(l4 + 4) < udp_size ||
-               load16(l4 + 4) > total - header) {
+    } else if (load16(l4 + 4) < udp_size || load16(l4 + 4) > total - header) {
         return drop_kind::truncated;
     }
     return std::nullopt;
@@ -205,18 +202,16 @@
 }
 
 auto write_ip(std::uint8_t *ip, std::size_t total, std::uint8_t protocol,
-              std::uint32_t source, std::uint32_t destination,
-              std::uint16_t identification = 0) -> void {
+              std::uint32_t source, std::uint32_t destination) -> void {
     std::memset(ip, 0, ip_min_size);
-    store16(ip + 4, identification);
     ip[0] = 0x45;
     store16(ip + 2, static_cast<std::uint16_t>(total));
-    ip[8] = 64;
+    ip[8] = initial_time_to_live;
     ip[9] = protocol;
     store32(ip + 12, source);
     store32(ip + 16, destination);
-    store16(ip + 10, static_cast<std::uint16_t>(
-                         ~fold(sum_words({ip, ip_min_size}))));
+    store16(ip + 10,
+            static_cast<std::uint16_t>(~fold(sum_words({ip, ip_min_size}))));
 }
 
 } // namespace
@@ -224,14 +219,22 @@
 auto to_string(drop_kind kind) -> std::string_view {
     static constexpr std::array<std::string_view,
                                 static_cast<std::size_t>(drop_kind::count_)>
-        names{"truncated",       "not_geneve",
-              "not_ipv4",        "fragment",
-              "bad_checksum",    "foreign_protocol",
-              "unknown_destination", "bad_relay",
-              "forged_relay",    "too_many_hops",
-              "no_owner",        "unknown_flow",
-              "fenced",          "not_placing",
-              "table_full",      "stale_answer",
+        names{"truncated",
+              "not_geneve",
+              "not_ipv4",
+              "fragment",
+              "bad_checksum",
+              "foreign_protocol",
+              "unknown_destination",
+              "bad_relay",
+              "forged_relay",
+              "too_many_hops",
+              "no_owner",
+              "unknown_flow",
+              "fenced",
+              "not_placing",
+              "table_full",
+              "stale_answer",
               "queue_full"};
     return names[static_cast<std::size_t>(kind)];
 }
@@ -285,6 +288,16 @@
     inner.source = to;
 }
 
+auto decrement_time_to_live(inner_packet &inner) -> void {
+    if (inner.time_to_live == 0)
+        return;
+    auto *ip = inner.bytes.data();
+    // The time to live is the upper half of its 16-bit word.
+    const auto before = load16(ip + 8);
+    ip[8] = --inner.time_to_live;
+    store16(ip + 10, adjust(load16(ip + 10), before, load16(ip + 8), 0, 0));
+}
+
 auto wrap_plain(const inner_packet &inner) -> std::span<std::uint8_t> {
     auto *start = inner.bytes.data() - geneve_size;
     write_geneve(start, 0);
@@ -314,8 +327,7 @@
     const auto total = ip_min_size + l4_size + fields.payload.size();
     auto *ip = out.bytes.data() + packet_headroom + geneve_size;
     write_ip(ip, total, static_cast<std::uint8_t>(fields.protocol),
-             fields.source.address, fields.destination.address,
-             fields.identification);
+             fields.source.address, fields.destination.address);
     auto *l4 = ip + ip_min_size;
     std::memset(l4, 0, l4_size);
     store16(l4, fields.source.port);
@@ -331,8 +343,7 @@
                 static_cast<std::uint16_t>(l4_size + fields.payload.size()));
     }
     if (!fields.payload.empty())
-        std::memcpy(l4 + l4_size, fields.payload.data(),
-                    fields.payload.size());
+        std::memcpy(l4 + l4_size, fields.payload.data(), fields.payload.size());
     inner_packet inner{.bytes = {ip, total},
                        .l4_offset = ip_min_size,
                        .protocol = fields.protocol};
@@ -349,13 +360,12 @@
 auto build_refusal(packet_buffer &out, const inner_packet &opening)
     -> std::span<std::uint8_t> {
     if (opening.protocol == transport::tcp)
-        return build_packet(
-            out, {.protocol = transport::tcp,
-                  .source = opening.destination,
-                  .destination = opening.source,
-                  .tcp_flags = tcp_rst | tcp_ack,
-                  .acknowledgement = opening.tcp_sequence + 1,
-                  .payload = {}});
+        return build_packet(out, {.protocol = transport::tcp,
+                                  .source = opening.destination,
+                                  .destination = opening.source,
+                                  .tcp_flags = tcp_rst | tcp_ack,
+                                  .acknowledgement = opening.tcp_sequence + 1,
+                                  .payload = {}});
     // ICMP destination unreachable, code 13, quoting header and 8 bytes.
     constexpr std::size_t icmp_size = 8;
     const auto quoted = opening.l4_offset + udp_size;
@@ -368,8 +378,8 @@
     icmp[0] = 3;
     icmp[1] = 13;
     std::memcpy(icmp + icmp_size, opening.bytes.data(), quoted);
-    store16(icmp + 2, static_cast<std::uint16_t>(~fold(
-                          sum_words({icmp, icmp_size + quoted}))));
+    store16(icmp + 2, static_cast<std::uint16_t>(
+                          ~fold(sum_words({icmp, icmp_size + quoted}))));
     const auto outer = wrap_plain({.bytes = {ip, total}});
     out.offset = packet_headroom;
     out.size = outer.size();
--- a/src/libdogwoodtrack/peer_channel.cpp
+++ b/src/libdogwoodtrack/peer_channel.cpp
@@ -27,12 +27,12 @@
 
 auto derive(const std::string &fleet_key, const char *purpose,
             std::uint8_t *out, std::size_t size) -> void {
-    crypto_generichash(
-        out, size, reinterpret_cast<const std::uint8_t *>(purpose),
-        std::char_traits<char>::length(purpose),
-        reinterpret_cast<const std::uint8_t *>(fleet_key.data()),
-        std::min<std::size_t>(fleet_key.size(),
-                              crypto_generichash_KEYBYTES_MAX));
+    crypto_generichash(out, size,
+                       reinterpret_cast<const std::uint8_t *>(purpose),
+                       std::char_traits<char>::length(purpose),
+                       reinterpret_cast<const std::uint8_t *>(fleet_key.data()),
+                       std::min<std::size_t>(fleet_key.size(),
+                                             crypto_generichash_KEYBYTES_MAX));
 }
 
 auto fleet_pair(const std::string &fleet_key) -> key_pair {
@@ -58,17 +58,15 @@
         more = frame.more();
     }
     constexpr std::size_t key_frame = 6;
-    const auto known =
-        frames.size() > key_frame &&
-        frames[key_frame] ==
-            std::string(pair.open_bytes.begin(), pair.open_bytes.end());
-    const std::array<std::string, 6> reply{
-        "1.0",
-        frames.size() > 1 ? frames[1] : "",
-        known ? "200" : "400",
-        known ? "OK" : "unknown key",
-        "fleet",
-        ""};
+    const auto known = frames.size() > key_frame &&
+                       frames[key_frame] == std::string(pair.open_bytes.begin(),
+                                                        pair.open_bytes.end());
+    const std::array<std::string, 6> reply{"1.0",
+                                           frames.size() > 1 ? frames[1] : "",
+                                           known ? "200" : "400",
+                                           known ? "OK" : "unknown key",
+                                           "fleet",
+                                           ""};
     for (std::size_t i = 0; i < reply.size(); ++i)
         socket.send(zmq::buffer(reply[i]), i + 1 < reply.size()
                                                ? zmq::send_flags::sndmore
@@ -101,8 +99,7 @@
     }
 };
 
-auto peer_channel::state::outbound_for(const endpoint &to)
-    -> zmq::socket_t & {
+auto peer_channel::state::outbound_for(const endpoint &to) -> zmq::socket_t & {
     const auto it = outbound.find(to);
     if (it != outbound.end())
         return it->second;
@@ -115,14 +112,12 @@
     socket.set(zmq::sockopt::immediate, 1);
     socket.set(zmq::sockopt::curve_serverkey, std::string(pair.open.data()));
     socket.set(zmq::sockopt::curve_publickey, std::string(pair.open.data()));
-    socket.set(zmq::sockopt::curve_secretkey,
-               std::string(pair.secret.data()));
+    socket.set(zmq::sockopt::curve_secretkey, std::string(pair.secret.data()));
     socket.connect(to_url(to));
     return outbound.emplace(to, std::move(socket)).first->second;
 }
 
-peer_channel::peer_channel(std::unique_ptr<state> s) : state_(std::move(s)) {
-}
+peer_channel::peer_channel(std::unique_ptr<state> s) : state_(std::move(s)) {}
 peer_channel::peer_channel(peer_channel &&) noexcept = default;
 auto peer_channel::operator=(peer_channel &&) noexcept
     -> peer_channel & = default;
@@ -159,8 +154,7 @@
     return peer_channel(std::move(s));
 }
 
-auto peer_channel::send(const endpoint &to, const std::string &bytes)
-    -> void {
+auto peer_channel::send(const endpoint &to, const std::string &bytes) -> void {
     auto &socket = state_->outbound_for(to);
     if (!socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait))
         return;
@@ -168,8 +162,7 @@
     ++state_->usage.sent_messages;
 }
 
-auto peer_channel::receive(milliseconds timeout)
-    -> std::optional<std::string> {
+auto peer_channel::receive(milliseconds timeout) -> std::optional<std::string> {
     zmq::pollitem_t waiter{state_->inbound.handle(), 0, ZMQ_POLLIN, 0};
     if (zmq::poll(&waiter, 1, timeout) <= 0)
         return std::nullopt;
@@ -185,8 +178,7 @@
     return state_->usage;
 }
 
-auto relay_key(const std::string &fleet_key)
-    -> std::array<std::uint8_t, 16> {
+auto relay_key(const std::string &fleet_key) -> std::array<std::uint8_t, 16> {
     std::array<std::uint8_t, 16> key{};
     derive(fleet_key, "dogwoodtrack relay", key.data(), key.size());
     return key;
--- a/src/libdogwoodtrack/placement.cpp
+++ b/src/libdogwoodtrack/placement.cpp
@@ -29,8 +29,7 @@
 // Takes one place if the limit allows it. The count is raised first, so that
 // two workers can never both take the last place.
 auto take_place(const upstream_route &it, std::uint32_t limit) -> bool {
-    const auto before =
-        it.load->open.fetch_add(1, std::memory_order_acq_rel);
+    const auto before = it.load->open.fetch_add(1, std::memory_order_acq_rel);
     if (before < limit)
         return true;
     it.load->open.fetch_sub(1, std::memory_order_acq_rel);
--- a/src/libdogwoodtrack/platform_client.cpp
+++ b/src/libdogwoodtrack/platform_client.cpp
@@ -62,11 +62,9 @@
 }
 
 auto refused(const httplib::Response &answer) -> error {
-    const auto kind = answer.status == 404
-                          ? error_kind::platform_not_found
-                      : answer.status == 409
-                          ? error_kind::contract_conflict
-                          : error_kind::platform_refused;
+    const auto kind = answer.status == 404   ? error_kind::platform_not_found
+                      : answer.status == 409 ? error_kind::contract_conflict
+                                             : error_kind::platform_refused;
     return {kind, "the platform answered " + std::to_string(answer.status) +
                       " " + answer.body.substr(0, 200)};
 }
@@ -102,8 +100,7 @@
 } // namespace
 
 platform_client::platform_client(platform_options options)
-    : options_(std::move(options)) {
-}
+    : options_(std::move(options)) {}
 
 auto platform_client::list(platform_resource resource) const
     -> result<platform_list> {
@@ -116,10 +113,10 @@
     const auto body = json::parse(answer->body, nullptr, false);
     if (!body.is_object())
         return error{error_kind::platform_refused, "the list is not JSON"};
-    platform_list found{.resource_version =
-                            body.value("metadata", json::object())
-                                .value("resourceVersion", ""),
-                        .objects = {}};
+    platform_list found{
+        .resource_version =
+            body.value("metadata", json::object()).value("resourceVersion", ""),
+        .objects = {}};
     for (const auto &it : body.value("items", json::array()))
         found.objects.push_back(to_object(resource, it));
     return found;
@@ -159,14 +156,15 @@
         if (type == "ADDED" || type == "MODIFIED")
             changed(to_object(resource, object));
     };
-    const auto answer = client.Get(
-        path_of(resource) + "?watch=1&allowWatchBookmarks=true"
-                            "&resourceVersion=" +
-            version,
-        [&](const char *data, std::size_t size) {
-            consume_lines(pending, data, size, on_event);
-            return !stop && !expired;
-        });
+    const auto answer =
+        client.Get(path_of(resource) +
+                       "?watch=1&allowWatchBookmarks=true"
+                       "&resourceVersion=" +
+                       version,
+                   [&](const char *data, std::size_t size) {
+                       consume_lines(pending, data, size, on_event);
+                       return !stop && !expired;
+                   });
     if (expired || (answer && answer->status == 410))
         return watch_end::expired;
     return answer ? watch_end::closed : watch_end::unreachable;
@@ -204,9 +202,9 @@
     auto client = make_client(options_, options_.timeout);
     const json body{{"metadata", {{"name", name}}},
                     {"status", json::parse(status_json)}};
-    const auto answer = client.Put(
-        path_of(platform_resource::contracts) + "/" + name + "/status",
-        body.dump(), json_type);
+    const auto answer = client.Put(path_of(platform_resource::contracts) + "/" +
+                                       name + "/status",
+                                   body.dump(), json_type);
     if (!answer)
         return unreachable(answer);
     if (answer->status != 200)
--- a/src/libdogwoodtrack/platform_feed.cpp
+++ b/src/libdogwoodtrack/platform_feed.cpp
@@ -17,8 +17,7 @@
 platform_feed::platform_feed(platform_options options, timeline &events,
                              const std::atomic<bool> &blocked)
     : client_(std::move(options)), events_(events), blocked_(blocked) {
-    threads_.emplace_back(
-        [this] { follow(platform_resource::contracts); });
+    threads_.emplace_back([this] { follow(platform_resource::contracts); });
     threads_.emplace_back(
         [this] { follow(platform_resource::endpoint_slices); });
     threads_.emplace_back([this] { write_statuses(); });
@@ -69,8 +68,8 @@
                    "platform");
 }
 
-auto platform_feed::read_list(platform_resource resource,
-                              std::string &version) -> bool {
+auto platform_feed::read_list(platform_resource resource, std::string &version)
+    -> bool {
     if (blocked_) {
         note_reachable(false);
         return false;
@@ -101,8 +100,8 @@
         if (!fresh) {
             fresh = read_list(resource, version);
             listed = listed || fresh;
-            backoff = fresh ? backoff_least
-                            : std::min(backoff_most, backoff * 2);
+            backoff =
+                fresh ? backoff_least : std::min(backoff_most, backoff * 2);
         }
         if (!fresh) {
             for (auto left = backoff; left.count() > 0 && !stop_;
@@ -146,9 +145,7 @@
         const std::lock_guard lock(mutex_);
         const auto newer =
             std::any_of(statuses_.begin(), statuses_.end(),
-                        [&](const auto &it) {
-                            return it.first == next.first;
-                        });
+                        [&](const auto &it) { return it.first == next.first; });
         if (!newer)
             statuses_.push_back(next);
     }
--- a/src/libdogwoodtrack/routing.cpp
+++ b/src/libdogwoodtrack/routing.cpp
@@ -4,8 +4,7 @@
 
 namespace dogwoodtrack {
 
-auto route_key(const endpoint &address, transport protocol)
-    -> std::uint64_t {
+auto route_key(const endpoint &address, transport protocol) -> std::uint64_t {
     return (static_cast<std::uint64_t>(address.address) << 24) |
            (static_cast<std::uint64_t>(address.port) << 8) |
            static_cast<std::uint64_t>(protocol);
@@ -60,10 +59,8 @@
 }
 
 auto assign_owner(const std::vector<member> &members,
-                  const service_route &service, domain_route &route)
-    -> void {
-    const auto order =
-        rank_members(members, route.failure_domain, service.id);
+                  const service_route &service, domain_route &route) -> void {
+    const auto order = rank_members(members, route.failure_domain, service.id);
     route.owner = 0;
     route.replica_count = 0;
     const auto synced = [&](const member &it) {
@@ -99,9 +96,8 @@
     for (const auto &it : service.domains) {
         if (ranked.size() == domain_limit)
             break;
-        ranked.push_back({rendezvous_score(flow_hash, it.failure_domain,
-                                           it.capacity),
-                          &it});
+        ranked.push_back(
+            {rendezvous_score(flow_hash, it.failure_domain, it.capacity), &it});
     }
     std::sort(ranked.begin(), ranked.end(),
               [](const scored &left, const scored &right) {
--- a/src/libdogwoodtrack/timeline.cpp
+++ b/src/libdogwoodtrack/timeline.cpp
@@ -40,18 +40,14 @@
 auto to_string(event_kind kind) -> std::string {
     static const std::array<const char *,
                             static_cast<std::size_t>(event_kind::count_)>
-        names{"started",           "stopping",
-              "stopped",           "member_joined",
-              "member_leaving",    "member_dead",
-              "member_gone",       "domain_cut",
-              "domain_healed",     "owner_changed",
-              "lease_lost",        "lease_held",
-              "pause_noticed",     "sync_started",
-              "sync_done",         "contract_accepted",
-              "contract_rejected", "upstream_ejected",
-              "upstream_returned", "condition_set",
-              "condition_cleared", "platform_lost",
-              "platform_back",     "stop_deadline_missed"};
+        names{"started",           "stopping",          "stopped",
+              "member_joined",     "member_leaving",    "member_dead",
+              "member_gone",       "domain_cut",        "domain_healed",
+              "owner_changed",     "lease_lost",        "lease_held",
+              "pause_noticed",     "sync_started",      "sync_done",
+              "contract_accepted", "contract_rejected", "upstream_ejected",
+              "upstream_returned", "condition_set",     "condition_cleared",
+              "platform_lost",     "platform_back",     "stop_deadline_missed"};
     return names[static_cast<std::size_t>(kind)];
 }
 
@@ -72,8 +68,7 @@
 }
 
 timeline::timeline(std::string instance, std::size_t capacity)
-    : instance_(std::move(instance)), capacity_(capacity) {
-}
+    : instance_(std::move(instance)), capacity_(capacity) {}
 
 auto timeline::record(event_kind kind, const std::string &subject,
                       std::uint64_t generation, const std::string &detail)
@@ -91,8 +86,7 @@
         events_.pop_front();
 }
 
-auto timeline::since(std::uint64_t after) const
-    -> std::vector<timeline_event> {
+auto timeline::since(std::uint64_t after) const -> std::vector<timeline_event> {
     const std::lock_guard lock(mutex_);
     std::vector<timeline_event> later;
     for (const auto &it : events_) {
--- a/src/libdogwoodtrack/types.cpp
+++ b/src/libdogwoodtrack/types.cpp
@@ -11,10 +11,9 @@
 namespace dogwoodtrack {
 
 auto to_string(const endpoint &value) -> std::string {
-    return fmt::format("{}.{}.{}.{}:{}", value.address >> 24,
-                       (value.address >> 16) & 0xff,
-                       (value.address >> 8) & 0xff, value.address & 0xff,
-                       value.port);
+    return fmt::format(
+        "{}.{}.{}.{}:{}", value.address >> 24, (value.address >> 16) & 0xff,
+        (value.address >> 8) & 0xff, value.address & 0xff, value.port);
 }
 
 auto to_string(transport value) -> std::string_view {
@@ -60,8 +59,8 @@
     return XXH3_64bits(buf, sizeof buf);
 }
 
-auto rendezvous_score(std::uint64_t key, std::uint64_t candidate,
-                      double weight) -> double {
+auto rendezvous_score(std::uint64_t key, std::uint64_t candidate, double weight)
+    -> double {
     if (weight <= 0)
         return -1;
     // The top 53 bits as a number strictly between 0 and 1.
--- a/src/libdogwoodtrack/view_builder.cpp
+++ b/src/libdogwoodtrack/view_builder.cpp
@@ -37,9 +37,9 @@
     return service.domains.back();
 }
 
-auto add_upstream(blackboard &board, routing_view &view,
-                  service_route &service, const service_terms &terms,
-                  const upstream_terms &it) -> void {
+auto add_upstream(blackboard &board, routing_view &view, service_route &service,
+                  const service_terms &terms, const upstream_terms &it)
+    -> void {
     const auto index = static_cast<std::uint32_t>(view.upstreams.size());
     const auto domain_id = hash_name(it.failure_domain);
     auto &domain = domain_for(board, service, domain_id);
@@ -55,23 +55,19 @@
          .service = static_cast<std::uint32_t>(view.services.size()),
          .failure_domain = domain_id,
          .capacity = it.capacity,
-         .limit = terms.limit == limit_kind::slots ? it.slots
-                                                   : it.connections,
+         .limit = terms.limit == limit_kind::slots ? it.slots : it.connections,
          .in_service = in_service,
          .load = load_for(board, it.address, terms.protocol)});
 }
 
-auto is_reachable(const blackboard &board,
-                  const std::vector<member> &members, std::uint32_t domain)
-    -> bool {
+auto is_reachable(const blackboard &board, const std::vector<member> &members,
+                  std::uint32_t domain) -> bool {
     if (domain != board.self.failure_domain &&
         board.cut_domains.contains(domain))
         return false;
-    return std::any_of(members.begin(), members.end(),
-                       [&](const member &it) {
-                           return it.failure_domain == domain &&
-                                  it.status != member_status::dead;
-                       });
+    return std::any_of(members.begin(), members.end(), [&](const member &it) {
+        return it.failure_domain == domain && it.status != member_status::dead;
+    });
 }
 
 auto name_of(const blackboard &board, std::uint32_t id) -> std::string {
@@ -115,8 +111,7 @@
     for (const auto &it : terms.upstreams)
         add_upstream(board, view, service, terms, it);
     for (auto &domain : service.domains) {
-        domain.reachable =
-            is_reachable(board, members, domain.failure_domain);
+        domain.reachable = is_reachable(board, members, domain.failure_domain);
         assign_owner(members, service, domain);
         note_owner(board, service, domain, now);
     }
--- a/src/libdogwoodtrack/worker.cpp
+++ b/src/libdogwoodtrack/worker.cpp
@@ -37,10 +37,9 @@
         return;
     case worker_request::kind::export_records: {
         worker_report answer{.records = {}, .expired = {}, .exported = true};
-        answer.next = export_records(state, request.service,
-                                     request.protocol, request.age,
-                                     request.cursor, export_slots, now,
-                                     answer.records);
+        answer.next = export_records(state, request.service, request.protocol,
+                                     request.age, request.cursor, export_slots,
+                                     now, answer.records);
         return report(it.self, std::move(answer));
     }
     case worker_request::kind::forget:
@@ -87,12 +86,10 @@
     if (!outcome.packet)
         return drop_packet(state, outcome.reason);
     if (outcome.packet->relay)
-        it.self.metrics.fill(metric::relay_hops,
-                             outcome.packet->relay->hops);
+        it.self.metrics.fill(metric::relay_hops, outcome.packet->relay->hops);
     if (it.all.size() > 1) {
         const auto target =
-            worker_hash(*state.view, outcome.packet->inner) %
-            it.all.size();
+            worker_hash(*state.view, outcome.packet->inner) % it.all.size();
         if (target != it.index)
             return hand_over(it, target, bytes);
     }
@@ -105,11 +102,11 @@
     for (auto &queue : it.self.from_workers) {
         handed_packet packet;
         while (queue->pop(packet)) {
-            std::memcpy(buf.bytes.data() + packet_headroom,
-                        packet.bytes.data(), packet.size);
-            auto outcome = parse_packet(
-                {buf.bytes.data() + packet_headroom, packet.size},
-                state.options.key);
+            std::memcpy(buf.bytes.data() + packet_headroom, packet.bytes.data(),
+                        packet.size);
+            auto outcome =
+                parse_packet({buf.bytes.data() + packet_headroom, packet.size},
+                             state.options.key);
             if (outcome.packet)
                 handle_parsed(state, *outcome.packet, now);
             // The buffer is used again, so the packet leaves at once.
@@ -133,8 +130,7 @@
     self.metrics.fill(metric::decision_time,
                       spent.count() / static_cast<double>(batch.size()));
     self.metrics.fill(metric::batch_time, whole.count());
-    self.metrics.fill(metric::batch_size,
-                      static_cast<double>(batch.size()));
+    self.metrics.fill(metric::batch_size, static_cast<double>(batch.size()));
 }
 
 auto sweep(worker_context &it, time_point now) -> void {
@@ -149,8 +145,7 @@
 } // namespace
 
 packet_worker::packet_worker(link bound, forwarding_options options,
-                             time_point started,
-                             const placement_lease &lease)
+                             time_point started, const placement_lease &lease)
     : socket(std::move(bound)), state(options, started, lease, counters) {
     state.view = std::make_shared<routing_view>();
 }
--- a/src/libdogwoodtrack/worker.hpp
+++ b/src/libdogwoodtrack/worker.hpp
@@ -49,8 +49,8 @@
 /// join it to the others. All queues have one writer and one reader, so no
 /// lock is taken.
 struct packet_worker {
-    packet_worker(link socket, forwarding_options options,
-                  time_point started, const placement_lease &lease);
+    packet_worker(link socket, forwarding_options options, time_point started,
+                  const placement_lease &lease);
     ~packet_worker();
 
     link socket;
--- a/src/libstandin/callers.cpp
+++ b/src/libstandin/callers.cpp
@@ -34,8 +34,8 @@
     ++it.next_caller;
     return {.address = caller_network + 1 +
                        static_cast<std::uint32_t>(number / ports_per_caller),
-            .port = static_cast<std::uint16_t>(
-                first_port + number % ports_per_caller)};
+            .port = static_cast<std::uint16_t>(first_port +
+                                               number % ports_per_caller)};
 }
 
 auto schedule(endpoints &it, caller_flow &flow, clock_point when) -> void {
@@ -161,10 +161,8 @@
                 break;
             // Arrivals are a Poisson process.
             const std::chrono::duration<double> gap(
-                std::exponential_distribution<double>(profile.rate)(
-                    it.random));
-            from.next +=
-                std::chrono::duration_cast<clock_point::duration>(gap);
+                std::exponential_distribution<double>(profile.rate)(it.random));
+            from.next += std::chrono::duration_cast<clock_point::duration>(gap);
             open_flow(it, i, now);
         }
     }
@@ -226,8 +224,7 @@
 
 auto on_answer(endpoints &it, caller_flow &flow, const payload_header &head,
                clock_point now) -> void {
-    if (head.flow != flow.id ||
-        head.service != profile_of(it, flow).service) {
+    if (head.flow != flow.id || head.service != profile_of(it, flow).service) {
         ++it.report.answers_mixed;
         return;
     }
@@ -257,8 +254,8 @@
     }
 }
 
-auto caller_receives(endpoints &it, const inner_packet &packet,
-                     clock_point now) -> void {
+auto caller_receives(endpoints &it, const inner_packet &packet, clock_point now)
+    -> void {
     const auto found = it.by_caller.find(number_of(packet.destination));
     if (found == it.by_caller.end())
         return; // the flow is over
@@ -270,8 +267,10 @@
         return;
     }
     payload_header header;
-    if (read_header(payload_of(packet), header))
+    if (read_header(payload_of(packet), header)) {
+        note_relaying(it, flow, packet, now);
         return on_answer(it, flow, header, now);
+    }
     if ((packet.tcp_flags & tcp_rst) != 0)
         return on_reset(it, flow);
     if ((packet.tcp_flags & tcp_syn) != 0 &&
@@ -282,8 +281,7 @@
         send(it, flow, tcp_ack);
         return ask(it, flow, now);
     }
-    if ((packet.tcp_flags & tcp_fin) != 0 &&
-        flow.state == flow_state::ending) {
+    if ((packet.tcp_flags & tcp_fin) != 0 && flow.state == flow_state::ending) {
         ++flow.sequence;
         send(it, flow, tcp_ack);
         finish(it, flow.id);
--- a/src/libstandin/endpoints.hpp
+++ b/src/libstandin/endpoints.hpp
@@ -27,13 +27,7 @@
 inline constexpr std::uint32_t request_magic = 0x52455131;
 inline constexpr std::uint32_t answer_magic = 0x414e5331;
 
-enum class flow_state : std::uint8_t {
-    opening,
-    asking,
-    resting,
-    ending,
-    over
-};
+enum class flow_state : std::uint8_t { opening, asking, resting, ending, over };
 
 /// One flow as its caller sees it.
 struct caller_flow {
@@ -67,8 +61,7 @@
 /// One upstream with its connections.
 struct upstream_state {
     upstream_profile profile;
-    boost::unordered_flat_map<std::uint64_t, upstream_connection>
-        connections;
+    boost::unordered_flat_map<std::uint64_t, upstream_connection> connections;
     std::uint32_t open = 0;
     bool leaving = false;
     clock_point leaving_since;
@@ -103,14 +96,12 @@
 };
 
 template <typename T>
-using time_queue =
-    std::priority_queue<T, std::vector<T>, std::greater<T>>;
+using time_queue = std::priority_queue<T, std::vector<T>, std::greater<T>>;
 
 /// Everything the traffic thread works on.
 struct endpoints {
     endpoints(link opened, std::uint64_t seed)
-        : socket(std::move(opened)), random(seed) {
-    }
+        : socket(std::move(opened)), random(seed) {}
 
     link socket;
     std::mt19937_64 random;
@@ -160,19 +151,24 @@
 auto drive_callers(endpoints &it, clock_point now) -> void;
 
 /// A packet for a caller.
-auto caller_receives(endpoints &it, const inner_packet &packet,
-                     clock_point now) -> void;
+auto caller_receives(endpoints &it, const inner_packet &packet, clock_point now)
+    -> void;
 
 /// A packet for the upstream with this index.
 auto upstream_receives(endpoints &it, std::size_t index,
                        const inner_packet &packet, const endpoint &from,
                        clock_point now) -> void;
 
+/// Counts a packet between opening and closing of a flow older than a
+/// second. Every relay takes one off the time to live.
+auto note_relaying(endpoints &it, const caller_flow &flow,
+                   const inner_packet &packet, clock_point now) -> void;
+
 /// Takes a sample of the imbalance if one is due.
 auto sample_imbalance(endpoints &it, clock_point now) -> void;
 
 /// Reads a payload header; false if there is none.
-auto read_header(std::span<const std::uint8_t> payload,
-                 payload_header &header) -> bool;
+auto read_header(std::span<const std::uint8_t> payload, payload_header &header)
+    -> bool;
 
 } // namespace dogwoodtrack::standin
--- a/src/libstandin/fleet.cpp
+++ b/src/libstandin/fleet.cpp
@@ -75,20 +75,20 @@
                 .link = {.address = it.address, .port = link_port}};
     }
 
-    auto arguments(const fleet_member &it) const
-        -> std::vector<std::string> {
+    auto arguments(const fleet_member &it) const -> std::vector<std::string> {
         const auto at = [&](std::uint32_t address, std::uint16_t port) {
             return to_string(endpoint{.address = address, .port = port});
         };
         std::vector<std::string> list{
-            "--name", it.name, "--failure-domain", it.failure_domain,
-            "--link", at(it.address, link_port),
-            "--control", at(it.address, control_port),
-            "--operators", at(it.address, operators_port),
-            "--fabric", at(base + 1, link_port),
-            "--platform", at(base + 2, platform_port),
-            "--fleet-key", fleet_key,
-            "--flows", std::to_string(options.flows),
+            "--name",           it.name,
+            "--failure-domain", it.failure_domain,
+            "--link",           at(it.address, link_port),
+            "--control",        at(it.address, control_port),
+            "--operators",      at(it.address, operators_port),
+            "--fabric",         at(base + 1, link_port),
+            "--platform",       at(base + 2, platform_port),
+            "--fleet-key",      fleet_key,
+            "--flows",          std::to_string(options.flows),
             "--fault-injection"};
         for (const auto &[name, other] : members) {
             if (name != it.name)
@@ -104,8 +104,7 @@
                bool platform_cut) const -> void;
 };
 
-fleet::fleet(std::unique_ptr<state> s) : state_(std::move(s)) {
-}
+fleet::fleet(std::unique_ptr<state> s) : state_(std::move(s)) {}
 
 fleet::~fleet() {
     // Daemons first: they still talk to the platform.
@@ -119,8 +118,8 @@
     error last{error_kind::socket_failed, "no free loopback network"};
     for (int i = 0; i < network_tries; ++i) {
         const auto base = network_for(i);
-        auto network = traffic::open(
-            {.address = base + 1, .port = link_port}, options.seed);
+        auto network = traffic::open({.address = base + 1, .port = link_port},
+                                     options.seed);
         if (!network) {
             last = network.error();
             continue;
@@ -165,12 +164,10 @@
 
 auto fleet::start_member(const std::string &name) -> result<void> {
     auto &it = *state_->find(name);
-    const auto log =
-        fmt::format("{}/{}.{}.log", state_->options.log_folder, name,
-                    ++state_->starts[name]);
-    BOOST_OUTCOME_TRY(it.running,
-                      process::start(state_->options.daemon,
-                                     state_->arguments(it), log));
+    const auto log = fmt::format("{}/{}.{}.log", state_->options.log_folder,
+                                 name, ++state_->starts[name]);
+    BOOST_OUTCOME_TRY(it.running, process::start(state_->options.daemon,
+                                                 state_->arguments(it), log));
     it.stopping = false;
     it.listed = true;
     return boost::outcome_v2::success();
@@ -194,8 +191,8 @@
     state_->find(name)->running->resume();
 }
 
-auto fleet::fabric_uses(const std::string &name, bool receives,
-                        double weight) -> void {
+auto fleet::fabric_uses(const std::string &name, bool receives, double weight)
+    -> void {
     auto target = state_->target(*state_->find(name));
     target.receives = receives;
     target.weight = weight;
@@ -207,8 +204,7 @@
                          bool platform_cut) const -> void {
     httplib::Client client(host_text(it.address), operators_port);
     client.set_connection_timeout(seconds{2});
-    client.Post("/fault",
-                json{{"cut", cut}, {"platform", platform_cut}}.dump(),
+    client.Post("/fault", json{{"cut", cut}, {"platform", platform_cut}}.dump(),
                 "application/json");
 }
 
@@ -239,17 +235,15 @@
         const auto alive = it.running && it.running->running();
         if (it.listed)
             entries.push_back(endpoint_entry(name, it.failure_domain,
-                                             it.address, alive,
-                                             it.stopping));
+                                             it.address, alive, it.stopping));
     }
     state_->platform->put_slice(
-        "dogwoodtrack",
-        json{{"addressType", "IPv4"},
-             {"endpoints", entries},
-             {"ports",
-              {{{"name", "link"}, {"port", link_port}},
-               {{"name", "control"}, {"port", control_port}}}}}
-            .dump());
+        "dogwoodtrack", json{{"addressType", "IPv4"},
+                             {"endpoints", entries},
+                             {"ports",
+                              {{{"name", "link"}, {"port", link_port}},
+                               {{"name", "control"}, {"port", control_port}}}}}
+                            .dump());
 }
 
 auto fleet::publish_upstreams(const std::string &service,
@@ -298,15 +292,13 @@
 auto fleet::mark_cost() -> void {
     state_->marks.clear();
     for (const auto &[name, it] : state_->members) {
-        const auto status = json::parse(ask(name, "/status"), nullptr,
-                                        false);
+        const auto status = json::parse(ask(name, "/status"), nullptr, false);
         if (!status.is_object())
             continue;
         state_->marks[name] = {
             .cpu = it.running->usage().control_seconds,
             .bytes = status["control"]["sent_bytes"].get<std::uint64_t>() +
-                     status["control"]["received_bytes"]
-                         .get<std::uint64_t>(),
+                     status["control"]["received_bytes"].get<std::uint64_t>(),
             .when = std::chrono::steady_clock::now()};
     }
 }
@@ -314,8 +306,7 @@
 auto fleet::cost() -> control_cost {
     control_cost worst;
     for (const auto &[name, mark] : state_->marks) {
-        const auto status = json::parse(ask(name, "/status"), nullptr,
-                                        false);
+        const auto status = json::parse(ask(name, "/status"), nullptr, false);
         if (!status.is_object())
             continue;
         const auto usage = state_->members[name].running->usage();
@@ -326,8 +317,7 @@
             status["control"]["received_bytes"].get<std::uint64_t>();
         worst.bytes_per_second =
             std::max(worst.bytes_per_second,
-                     static_cast<double>(bytes - mark.bytes) /
-                         window.count());
+                     static_cast<double>(bytes - mark.bytes) / window.count());
         worst.cpu_fraction =
             std::max(worst.cpu_fraction,
                      (usage.control_seconds - mark.cpu) / window.count());
--- a/src/libstandin/fleet.hpp
+++ b/src/libstandin/fleet.hpp
@@ -47,8 +47,8 @@
         -> result<std::unique_ptr<fleet>>;
     ~fleet();
 
-    auto add_member(const std::string &name,
-                    const std::string &failure_domain) -> result<void>;
+    auto add_member(const std::string &name, const std::string &failure_domain)
+        -> result<void>;
     auto member(const std::string &name) -> fleet_member *;
     auto names() const -> std::vector<std::string>;
 
--- a/src/libstandin/platform_standin.cpp
+++ b/src/libstandin/platform_standin.cpp
@@ -75,11 +75,9 @@
     auto write(const std::string &path, const std::string &name,
                const httplib::Request &request, httplib::Response &response)
         -> void;
-    auto write_status(const std::string &name,
-                      const httplib::Request &request,
+    auto write_status(const std::string &name, const httplib::Request &request,
                       httplib::Response &response) -> void;
-    auto answer_write(httplib::Response &response, const json &object)
-        -> void;
+    auto answer_write(httplib::Response &response, const json &object) -> void;
     auto next_events(const std::string &path, std::uint64_t &from)
         -> std::string;
     auto add_routes(const std::string &path) -> void;
@@ -111,13 +109,11 @@
 }
 
 auto platform_standin::state::store(collection &all, const std::string &name,
-                                    json object, bool new_generation)
-    -> json {
+                                    json object, bool new_generation) -> json {
     auto &slot = all.objects[name];
     const auto created = slot.now.is_null();
     const auto generation =
-        created ? 0
-                : slot.now["metadata"]["generation"].get<std::uint64_t>();
+        created ? 0 : slot.now["metadata"]["generation"].get<std::uint64_t>();
     ++version;
     object["metadata"]["name"] = name;
     object["metadata"]["resourceVersion"] = std::to_string(version);
@@ -150,8 +146,7 @@
 
 // Waits for events after `from`; an empty wait gives a bookmark.
 auto platform_standin::state::next_events(const std::string &path,
-                                          std::uint64_t &from)
-    -> std::string {
+                                          std::uint64_t &from) -> std::string {
     std::unique_lock lock(mutex);
     const auto &events = collections[path].events;
     changed.wait_for(lock, bookmark_interval, [&] {
@@ -169,18 +164,17 @@
     }
     if (lines.empty()) {
         from = std::max(from, version);
-        lines = json{{"type", "BOOKMARK"},
-                     {"object",
-                      {{"metadata",
-                        {{"resourceVersion", std::to_string(from)}}}}}}
-                    .dump() +
-                "\n";
+        lines =
+            json{{"type", "BOOKMARK"},
+                 {"object",
+                  {{"metadata", {{"resourceVersion", std::to_string(from)}}}}}}
+                .dump() +
+            "\n";
     }
     return lines;
 }
 
-auto platform_standin::state::watch(const std::string &path,
-                                    std::uint64_t from,
+auto platform_standin::state::watch(const std::string &path, std::uint64_t from,
                                     httplib::Response &response) -> void {
     {
         const std::lock_guard lock(mutex);
@@ -263,9 +257,8 @@
         const auto from = request.get_param_value("resourceVersion");
         watch(path, std::strtoull(from.c_str(), nullptr, 10), response);
     });
-    server.Get(path + "/([^/]+)", [this, path](
-                                      const httplib::Request &request,
-                                      httplib::Response &response) {
+    server.Get(path + "/([^/]+)", [this, path](const httplib::Request &request,
+                                               httplib::Response &response) {
         if (!admit(response))
             return;
         const std::lock_guard lock(mutex);
@@ -283,23 +276,20 @@
         if (admit(response))
             write(path, "", request, response);
     });
-    server.Put(path + "/([^/]+)", [this, path](
-                                      const httplib::Request &request,
-                                      httplib::Response &response) {
+    server.Put(path + "/([^/]+)", [this, path](const httplib::Request &request,
+                                               httplib::Response &response) {
         if (admit(response))
             write(path, request.matches[1], request, response);
     });
-    server.Put(path + "/([^/]+)/status",
-               [this](const httplib::Request &request,
-                      httplib::Response &response) {
-                   if (admit(response))
-                       write_status(request.matches[1], request, response);
-               });
+    server.Put(path + "/([^/]+)/status", [this](const httplib::Request &request,
+                                                httplib::Response &response) {
+        if (admit(response))
+            write_status(request.matches[1], request, response);
+    });
 }
 
 platform_standin::platform_standin(std::unique_ptr<state> s)
-    : state_(std::move(s)) {
-}
+    : state_(std::move(s)) {}
 
 platform_standin::~platform_standin() {
     state_->stopping = true;
@@ -319,8 +309,7 @@
     s->add_routes(contracts_path);
     s->add_routes(slices_path);
     const auto text = to_string(address);
-    if (!s->server.bind_to_port(text.substr(0, text.rfind(':')),
-                                address.port))
+    if (!s->server.bind_to_port(text.substr(0, text.rfind(':')), address.port))
         return error{error_kind::socket_failed, "bind on " + text};
     s->thread =
         std::thread([raw = s.get()] { raw->server.listen_after_bind(); });
@@ -353,8 +342,7 @@
     const auto it = objects.find(name);
     return it == objects.end()
                ? 0
-               : it->second.now["metadata"]["generation"]
-                     .get<std::uint64_t>();
+               : it->second.now["metadata"]["generation"].get<std::uint64_t>();
 }
 
 auto platform_standin::contract_status(const std::string &name) const
--- a/src/libstandin/platform_standin.hpp
+++ b/src/libstandin/platform_standin.hpp
@@ -9,10 +9,10 @@
 
 /// How the platform misbehaves.
 struct platform_faults {
-    bool outage = false;        ///< every call fails, watches end
-    milliseconds delay{0};      ///< before each answer
-    unsigned lose_answers = 0;  ///< writes that take effect unanswered
-    bool stale_reads = false;   ///< reads show the version before the last
+    bool outage = false;           ///< every call fails, watches end
+    milliseconds delay{0};         ///< before each answer
+    unsigned lose_answers = 0;     ///< writes that take effect unanswered
+    bool stale_reads = false;      ///< reads show the version before the last
     unsigned calls_per_second = 0; ///< further calls get 429; 0: no limit
 };
 
--- a/src/libstandin/process.cpp
+++ b/src/libstandin/process.cpp
@@ -47,8 +47,7 @@
     bool ended_by_signal = false;
 };
 
-process::process(std::unique_ptr<state> s) : state_(std::move(s)) {
-}
+process::process(std::unique_ptr<state> s) : state_(std::move(s)) {}
 
 process::~process() {
     if (running())
@@ -61,9 +60,8 @@
     -> result<std::unique_ptr<process>> {
     auto s = std::make_unique<state>();
     std::error_code ec;
-    s->child = bp::child(program, bp::args(arguments),
-                         bp::std_err > log_path, bp::std_out > bp::null,
-                         bp::std_in < bp::null, ec);
+    s->child = bp::child(program, bp::args(arguments), bp::std_err > log_path,
+                         bp::std_out > bp::null, bp::std_in < bp::null, ec);
     if (ec)
         return error{error_kind::scenario_invalid,
                      "cannot start " + program + ": " + ec.message()};
--- a/src/libstandin/traffic.cpp
+++ b/src/libstandin/traffic.cpp
@@ -21,8 +21,7 @@
         if (one.receives && (side.empty() || one.failure_domain == side))
             total += one.weight;
     }
-    auto left =
-        std::uniform_real_distribution<double>(0, total)(it.random);
+    auto left = std::uniform_real_distribution<double>(0, total)(it.random);
     const balancer_target *chosen = nullptr;
     for (const auto &one : it.balancers) {
         if (!one.receives || !(side.empty() || one.failure_domain == side))
@@ -36,8 +35,8 @@
 }
 
 auto happens(endpoints &it, double probability) -> bool {
-    return probability > 0 && std::uniform_real_distribution<double>(
-                                  0, 1)(it.random) < probability;
+    return probability > 0 && std::uniform_real_distribution<double>(0, 1)(
+                                  it.random) < probability;
 }
 
 auto send_now(endpoints &it, const outgoing &packet) -> void {
@@ -45,17 +44,14 @@
     if (balancer == nullptr)
         return;
     packet_buffer buf;
-    const auto index =
-        static_cast<std::uint16_t>(balancer - it.balancers.data());
-    const auto outer = build_packet(
-        buf, {.protocol = packet.protocol,
-              .source = packet.source,
-              .destination = packet.destination,
-              .tcp_flags = packet.flags,
-              .sequence = packet.sequence,
-              .acknowledgement = packet.acknowledgement,
-              .identification = index,
-              .payload = packet.payload});
+    const auto outer =
+        build_packet(buf, {.protocol = packet.protocol,
+                           .source = packet.source,
+                           .destination = packet.destination,
+                           .tcp_flags = packet.flags,
+                           .sequence = packet.sequence,
+                           .acknowledgement = packet.acknowledgement,
+                           .payload = packet.payload});
     ++it.report.packets_sent;
     it.socket.send_copy(balancer->link, outer);
 }
@@ -77,8 +73,7 @@
         ++it.report.bad_checksums;
         return;
     }
-    const auto upstream =
-        it.upstream_index.find(number_of(inner.destination));
+    const auto upstream = it.upstream_index.find(number_of(inner.destination));
     if (upstream != it.upstream_index.end())
         return upstream_receives(it, upstream->second, inner, from, now);
     caller_receives(it, inner, now);
@@ -113,25 +108,23 @@
     if (when == clock_point{})
         return send_now(it, packet);
     packet_buffer buf;
-    const auto outer = build_packet(
-        buf, {.protocol = packet.protocol,
-              .source = packet.source,
-              .destination = packet.destination,
-              .tcp_flags = packet.flags,
-              .sequence = packet.sequence,
-              .acknowledgement = packet.acknowledgement,
-              .identification = 0xffff,
-              .payload = packet.payload});
-    it.delayed.push(
-        {when, {outer.begin(), outer.end()}, packet.side});
+    const auto outer =
+        build_packet(buf, {.protocol = packet.protocol,
+                           .source = packet.source,
+                           .destination = packet.destination,
+                           .tcp_flags = packet.flags,
+                           .sequence = packet.sequence,
+                           .acknowledgement = packet.acknowledgement,
+                           .payload = packet.payload});
+    it.delayed.push({when, {outer.begin(), outer.end()}, packet.side});
 }
 
 auto number_of(const endpoint &value) -> std::uint64_t {
     return (static_cast<std::uint64_t>(value.address) << 16) | value.port;
 }
 
-auto read_header(std::span<const std::uint8_t> payload,
-                 payload_header &header) -> bool {
+auto read_header(std::span<const std::uint8_t> payload, payload_header &header)
+    -> bool {
     if (payload.size() < sizeof header)
         return false;
     std::memcpy(&header, payload.data(), sizeof header);
@@ -140,8 +133,7 @@
 
 struct traffic::state {
     explicit state(link opened, std::uint64_t seed)
-        : all(std::move(opened), seed) {
-    }
+        : all(std::move(opened), seed) {}
 
     endpoints all;
     mutable std::mutex mutex;
@@ -162,8 +154,8 @@
                 wait = milliseconds{0};
                 const auto now = std::chrono::steady_clock::now();
                 for (std::size_t k = 0; k < batch.size(); ++k)
-                    take_packet(all, batch[k].view(),
-                                all.socket.source_of(k), now);
+                    take_packet(all, batch[k].view(), all.socket.source_of(k),
+                                now);
                 drive_callers(all, now);
                 send_delayed(all, now);
                 sample_imbalance(all, now);
@@ -183,8 +175,7 @@
     }
 };
 
-traffic::traffic(std::unique_ptr<state> s) : state_(std::move(s)) {
-}
+traffic::traffic(std::unique_ptr<state> s) : state_(std::move(s)) {}
 
 traffic::~traffic() {
     state_->stop = true;
--- a/src/libstandin/traffic.hpp
+++ b/src/libstandin/traffic.hpp
@@ -63,10 +63,10 @@
 /// Flows that callers keep opening.
 struct flow_profile {
     std::size_t service = 0;
-    double rate = 10;              ///< new flows a second
-    std::uint64_t count = 0;       ///< stop after this many; 0: no end
+    double rate = 10;        ///< new flows a second
+    std::uint64_t count = 0; ///< stop after this many; 0: no end
     milliseconds life{1000};
-    milliseconds gap{100};         ///< between an answer and a request
+    milliseconds gap{100};           ///< between an answer and a request
     std::uint32_t answer_size = 800; ///< bytes
     std::uint32_t request_size = 200;
     milliseconds patience{20'000}; ///< before a caller gives a flow up
@@ -108,8 +108,7 @@
     /// Stops opening flows; open ones end by themselves.
     auto stop_opening() -> void;
     /// The upstream should get no new flow from `limit` from now on.
-    auto mark_leaving(const std::string &upstream, milliseconds limit)
-        -> void;
+    auto mark_leaving(const std::string &upstream, milliseconds limit) -> void;
     auto unmark_leaving(const std::string &upstream) -> void;
     /// Starts a new window of the imbalance of `service`.
     auto measure_imbalance(std::size_t service) -> void;
--- a/src/libstandin/upstreams.cpp
+++ b/src/libstandin/upstreams.cpp
@@ -16,14 +16,12 @@
     clock_point now;
 };
 
-auto send_back(endpoints &it, const upstream_state &upstream,
-               const arrival &in, std::uint8_t flags,
-               std::span<const std::uint8_t> payload = {},
+auto send_back(endpoints &it, const upstream_state &upstream, const arrival &in,
+               std::uint8_t flags, std::span<const std::uint8_t> payload = {},
                clock_point when = {}) -> void {
     const auto &service = it.services[upstream.profile.service];
     std::string side;
-    const auto flow =
-        it.by_caller.find(number_of(in.packet.source));
+    const auto flow = it.by_caller.find(number_of(in.packet.source));
     if (flow != it.by_caller.end())
         side = it.sources[it.flows[flow->second].profile].profile.side;
     spray(it, {.protocol = service.protocol,
@@ -42,10 +40,9 @@
     return found == it.by_caller.end() ? nullptr : &it.flows[found->second];
 }
 
-auto open_connection(endpoints &it, upstream_state &upstream,
-                     const arrival &in, std::uint64_t flow) -> void {
-    auto &slot =
-        upstream.connections[number_of(in.packet.source)];
+auto open_connection(endpoints &it, upstream_state &upstream, const arrival &in,
+                     std::uint64_t flow) -> void {
+    auto &slot = upstream.connections[number_of(in.packet.source)];
     const auto was_open = slot.flow != 0 && slot.open;
     slot = {.flow = flow, .sequence = in.packet.tcp_sequence};
     if (was_open)
@@ -57,8 +54,8 @@
         ++it.report.new_flows_to_leaving_after_limit;
 }
 
-auto close_connection(upstream_state &upstream,
-                      upstream_connection &connection) -> void {
+auto close_connection(upstream_state &upstream, upstream_connection &connection)
+    -> void {
     if (!connection.open)
         return;
     connection.open = false;
@@ -82,22 +79,10 @@
     flow->request_at = mark;
 }
 
-auto note_relaying(endpoints &it, const arrival &in) -> void {
-    const auto *flow = find_flow(it, in);
-    const auto sprayed = in.packet.identification;
-    if (flow == nullptr || sprayed >= it.balancers.size() ||
-        in.now - flow->opened < settled_age)
-        return;
-    ++it.report.midflow_packets;
-    if (it.balancers[sprayed].link != in.from)
-        ++it.report.midflow_relayed;
-}
-
 auto answer(endpoints &it, upstream_state &upstream, std::size_t index,
             const arrival &in, const payload_header &request) -> void {
-    const auto speed = upstream.profile.capacity > 0
-                           ? upstream.profile.capacity
-                           : 1.0;
+    const auto speed =
+        upstream.profile.capacity > 0 ? upstream.profile.capacity : 1.0;
     const std::chrono::duration<double, std::milli> spent(
         static_cast<double>(upstream.profile.service_time.count()) / speed);
     const auto when =
@@ -116,8 +101,7 @@
         std::memcpy(payload.data(), &header, sizeof header);
         const auto size =
             part + 1 < parts ? answer_part_size : answer_part_size / 2;
-        send_back(it, upstream, in, tcp_ack,
-                  {payload.data(), size}, when);
+        send_back(it, upstream, in, tcp_ack, {payload.data(), size}, when);
     }
 }
 
@@ -140,13 +124,14 @@
         open_connection(it, upstream, in, header.flow);
         found = upstream.connections.find(number);
     }
-    note_relaying(it, in);
+    const auto *flow = find_flow(it, in);
+    if (flow != nullptr)
+        note_relaying(it, *flow, in.packet, in.now);
     found->second.last_request = header.request;
     answer(it, upstream, index, in, header);
 }
 
-auto receive_syn(endpoints &it, std::size_t index, const arrival &in)
-    -> void {
+auto receive_syn(endpoints &it, std::size_t index, const arrival &in) -> void {
     auto &upstream = it.upstreams[index];
     auto *flow = find_flow(it, in);
     if (flow == nullptr)
@@ -159,10 +144,9 @@
     if (upstream.profile.shedding)
         return send_back(it, upstream, in, tcp_rst | tcp_ack);
     flow->reached_upstream = true;
-    const auto known =
-        upstream.connections.find(number_of(in.packet.source));
-    const auto repeated = known != upstream.connections.end() &&
-                          known->second.flow == flow->id;
+    const auto known = upstream.connections.find(number_of(in.packet.source));
+    const auto repeated =
+        known != upstream.connections.end() && known->second.flow == flow->id;
     if (!repeated)
         open_connection(it, upstream, in, flow->id);
     send_back(it, upstream, in, tcp_syn | tcp_ack);
@@ -188,6 +172,15 @@
 
 } // namespace
 
+auto note_relaying(endpoints &it, const caller_flow &flow,
+                   const inner_packet &packet, clock_point now) -> void {
+    if (now - flow.opened < settled_age)
+        return;
+    ++it.report.midflow_packets;
+    if (packet.time_to_live < initial_time_to_live)
+        ++it.report.midflow_relayed;
+}
+
 auto upstream_receives(endpoints &it, std::size_t index,
                        const inner_packet &packet, const endpoint &from,
                        clock_point now) -> void {
@@ -205,8 +198,7 @@
         return receive_request(it, index, in, header);
     if ((packet.tcp_flags & tcp_syn) != 0)
         return receive_syn(it, index, in);
-    const auto found =
-        upstream.connections.find(number_of(packet.source));
+    const auto found = upstream.connections.find(number_of(packet.source));
     if (found == upstream.connections.end())
         return;
     if ((packet.tcp_flags & tcp_rst) != 0)
