--- a/src/libdogwoodtrack/ownership.cpp
+++ b/src/libdogwoodtrack/ownership.cpp
@@ -66,6 +66,16 @@
     replicate(it, relay_kind::open, domain, upstream);
 }
 
+// Whether another domain has room left by its owner's last report.
+auto has_room(const flow_context &it, const domain_route &domain) -> bool {
+    std::uint64_t room = 0;
+    for (const auto index : domain.upstreams) {
+        const auto &upstream = it.state.view->upstreams[index];
+        room += upstream.in_service ? upstream.limit : 0;
+    }
+    return domain.load->open.load(std::memory_order_relaxed) < room;
+}
+
 // Where the flow goes when this domain is full, or so much fuller than the
 // others that the contract's tolerance asks for it.
 auto better_domain(const flow_context &it, const domain_route &domain)
@@ -76,7 +86,8 @@
     double lightest_load = 0;
     for (const auto &other : it.service.domains) {
         if (!other.reachable || other.owner == 0 || other.capacity <= 0 ||
-            !other.load->known.load(std::memory_order_relaxed))
+            !other.load->known.load(std::memory_order_relaxed) ||
+            (&other != &domain && !has_room(it, other)))
             continue;
         const double count = other.load->open.load(std::memory_order_relaxed);
         open += count;
@@ -108,7 +119,9 @@
 }
 
 auto place_new(flow_context &it, const domain_route &domain) -> void {
-    if (it.hops <= 1) {
+    // Only the flow's first domain weighs the others: two owners that pass
+    // one flow to each other would never place it.
+    if (next_domain(it, 0) == &domain) {
         if (const auto *target = better_domain(it, domain))
             return pass_on(it, domain, *target);
     }
--- /dev/null
+++ b/testsuite/domain-cut/run.lua
@@ -0,0 +1,27 @@
+-- A failure domain is cut off from the others and from the platform, a
+-- contract changes meanwhile, and the cut heals.
+local places = require "places"
+
+places.brunner()
+start()
+for _, domain in ipairs(places.brunner_domains) do
+    flows{service = "ordering", rate = 50, life = 20, gap = 0.3,
+          side = domain}
+end
+run(4)
+stop_opening()
+run(1)
+cut{domain = "mitte-b", platform = true}
+run(3)
+flows{service = "ordering", rate = 30, life = 3, gap = 0.2, side = "mitte-b"}
+flows{service = "ordering", rate = 30, life = 3, gap = 0.2, side = "mitte-a"}
+upstream{name = "ordering-1", connections = 1900}
+apply("brunner", 6)
+run(3)
+heal()
+check(wait_for(10, function() return in_force("brunner") end),
+      "the contract reaches the healed domain")
+drain(30)
+
+places.always()
+expect("flows_broken", "==", 0)
