--- a/src/include/dogwoodtrack/packet.hpp
+++ b/src/include/dogwoodtrack/packet.hpp
@@ -70,7 +70,7 @@
 /// Largest number of replicas that one chained packet visits.
 inline constexpr std::size_t chain_limit = 4;
 /// Relays allowed before a packet is dropped.
-inline constexpr std::uint8_t hop_limit = 8;
+inline constexpr std::uint8_t hop_limit = 24;
 
 /// Header of a packet relayed between balancers. It is data on its way to
 /// an upstream or a caller; the fields say where it goes on to.
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -160,6 +160,9 @@
     if (now < it.next_slow_tick)
         return;
     it.next_slow_tick = now + slow_tick;
+    // Reachability depends on the time since the start, too.
+    if (now - it.board.started < it.board.options.settle + 2 * slow_tick)
+        it.board.view_stale = true;
     tick_health(it.board, now);
     it.feed.set_watching(is_watcher(it.board));
     for (const auto &change : tick_conditions(it.board, now))
--- /dev/null
+++ b/src/libdogwoodtrack/membership_test.cpp
@@ -0,0 +1,178 @@
+#include <doctest/doctest.h>
+
+#include "copying.hpp"
+#include "documents.hpp"
+#include "membership.hpp"
+#include "view_builder.hpp"
+
+using namespace dogwoodtrack;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours{1}};
+
+struct bench {
+    timeline events{"b0"};
+    placement_lease lease;
+    blackboard board;
+    control_actions actions;
+
+    explicit bench(std::size_t members) {
+        board.events = &events;
+        board.lease = &lease;
+        board.self.name = "b0";
+        board.self.id = hash_name("b0");
+        board.domain_name = "mitte-a";
+        board.self.failure_domain = hash_name("mitte-a");
+        board.incarnation = 5;
+        for (std::size_t i = 1; i < members; ++i)
+            add("b" + std::to_string(i));
+    }
+
+    auto add(const std::string &name) -> void {
+        auto &peer = board.peers[hash_name(name)];
+        peer.info.id = hash_name(name);
+        peer.info.name = name;
+        peer.domain_name = "mitte-a";
+        peer.info.failure_domain = hash_name("mitte-a");
+        peer.incarnation = 1;
+        peer.heard = start;
+    }
+
+    auto hear(const std::string &name, time_point when) -> void {
+        note_heard(board, hash_name(name), when);
+    }
+
+    auto listed(const std::string &name, bool ready) -> void {
+        board.balancers_known = true;
+        board.balancers[name] = {.name = name,
+                                 .failure_domain = "mitte-a",
+                                 .state = {.ready = ready}};
+    }
+};
+
+auto contract_spec(const char *port) -> std::string {
+    return std::string(R"({"services":[{"name":"s","address":"198.18.0.1:)") +
+           port + R"(","upstreams":[{"name":"a","address":"172.16.0.1:80",)" +
+           R"("failureDomain":"mitte-a","connections":10}]}]})";
+}
+
+} // namespace
+
+TEST_CASE("a minority loses the lease, a majority keeps it") {
+    bench it(3);
+    it.hear("b1", start + seconds{10});
+    renew_lease(it.board, start + seconds{10});
+    CHECK(it.lease.holds(start + seconds{10}));
+    CHECK(it.lease.holds(start + milliseconds{10'999}));
+    CHECK(!it.lease.holds(start + milliseconds{11'001}));
+    renew_lease(it.board, start + seconds{12});
+    CHECK(!it.lease.holds(start + seconds{12}));
+}
+
+TEST_CASE("two halves of one domain never both hold the lease") {
+    for (int size = 2; size <= 6; size += 2) {
+        int holding = 0;
+        for (int half = 0; half < 2; ++half) {
+            bench it(1);
+            const auto first = half * size / 2;
+            it.board.self.name = "b" + std::to_string(first);
+            it.board.self.id = hash_name(it.board.self.name);
+            for (int i = 0; i < size; ++i) {
+                const auto name = "b" + std::to_string(i);
+                if (i == first)
+                    continue;
+                it.add(name);
+                if (i / (size / 2) == half)
+                    it.hear(name, start + seconds{60});
+            }
+            renew_lease(it.board, start + seconds{60});
+            holding += it.lease.holds(start + seconds{60}) ? 1 : 0;
+        }
+        CHECK(holding == 1);
+    }
+}
+
+TEST_CASE("the platform's word lets a survivor go on alone") {
+    bench it(3);
+    const auto now = start + seconds{10};
+    tick_membership(it.board, now, it.actions);
+    renew_lease(it.board, now);
+    CHECK(!it.lease.holds(now));
+    it.listed("b1", false);
+    it.listed("b2", true);
+    renew_lease(it.board, now);
+    CHECK(it.lease.holds(now) == (it.board.self.id < hash_name("b2")));
+    it.listed("b2", false);
+    renew_lease(it.board, now);
+    CHECK(it.lease.holds(now));
+}
+
+TEST_CASE("after a pause nothing is owned and old messages do not count") {
+    bench it(3);
+    it.board.self.synced = {1, 2, 3};
+    notice_pause(it.board, start, it.actions);
+    renew_lease(it.board, start);
+    CHECK(it.lease.holds(start));
+    notice_pause(it.board, start + seconds{5}, it.actions);
+    CHECK(!it.lease.holds(start + seconds{5}));
+    CHECK(it.board.self.synced.empty());
+    CHECK(it.board.deaf_until > start + seconds{5});
+    REQUIRE(it.actions.requests.size() == 1);
+    CHECK(it.actions.requests[0].what == worker_request::kind::forget);
+}
+
+TEST_CASE("silence makes a peer dead and its own word makes it live") {
+    bench it(3);
+    const auto now = start + seconds{5};
+    it.hear("b2", now);
+    tick_membership(it.board, now, it.actions);
+    CHECK(it.board.peers[hash_name("b1")].info.status == member_status::dead);
+    CHECK(it.board.peers[hash_name("b2")].info.status == member_status::live);
+    wire::Envelope message;
+    message.set_from(hash_name("b1"));
+    auto *state = message.mutable_heartbeat()->add_states();
+    state->set_name("b1");
+    state->set_failure_domain("mitte-a");
+    state->set_incarnation(1);
+    state->set_version(9);
+    on_heartbeat(it.board, message, now, it.actions);
+    CHECK(it.board.peers[hash_name("b1")].info.status == member_status::live);
+}
+
+TEST_CASE("a contract never goes back to an older generation") {
+    bench it(1);
+    const auto accept = [&](std::uint64_t generation, const char *port) {
+        return accept_document(
+            it.board, "contract/brunner",
+            {.generation = generation, .json = contract_spec(port)}, start,
+            it.actions);
+    };
+    CHECK(accept(3, "443"));
+    CHECK(!accept(2, "444"));
+    CHECK(!accept(3, "445"));
+    CHECK(it.board.contracts[0].services[0].address.port == 443);
+    CHECK(accept(4, "446"));
+    CHECK(!accept_document(it.board, "contract/other",
+                           {.generation = 1, .json = contract_spec("446")},
+                           start, it.actions));
+    CHECK(it.board.contracts.size() == 1);
+}
+
+TEST_CASE("records survive packing and odd sizes are refused") {
+    const endpoint service{.address = 1, .port = 443};
+    const std::vector<flow_record> records{
+        {.key = {.caller = {.address = 7, .port = 8}, .service = service},
+         .upstream = {.address = 9, .port = 10}},
+        {.key = {.caller = {.address = 11, .port = 12}, .service = service},
+         .upstream = {.address = 13, .port = 14},
+         .closed = true}};
+    std::vector<flow_record> out;
+    const auto bytes = pack_records(records);
+    REQUIRE(unpack_records(bytes, service, transport::tcp, out));
+    REQUIRE(out.size() == 2);
+    CHECK(out[1].closed);
+    CHECK(out[1].key == records[1].key);
+    CHECK(out[0].upstream == records[0].upstream);
+    CHECK(!unpack_records(bytes + "x", service, transport::tcp, out));
+}
--- a/src/libdogwoodtrack/operator_port.cpp
+++ b/src/libdogwoodtrack/operator_port.cpp
@@ -80,6 +80,19 @@
             {"broken_messages", it.broken_messages}};
 }
 
+// Ready for packets: every service has a reachable owner somewhere.
+auto is_ready(const blackboard &board) -> bool {
+    if (!board.view || board.view->services.empty())
+        return false;
+    for (const auto &service : board.view->services) {
+        for (const auto &domain : service.domains) {
+            if (domain.reachable && domain.owner == 0)
+                return false;
+        }
+    }
+    return true;
+}
+
 auto status_json(const control_context &it) -> ordered_json {
     const auto &board = it.board;
     ordered_json troubled = ordered_json::array();
@@ -93,6 +106,7 @@
     return {{"instance", board.self.name},
             {"failure_domain", board.domain_name},
             {"status", status_name(board.self.status)},
+            {"ready", is_ready(board)},
             {"placing", board.lease->holds(monotonic::now())},
             {"watching", is_watcher(board)},
             {"flows", open_flows(it)},
--- a/src/libdogwoodtrack/ownership.cpp
+++ b/src/libdogwoodtrack/ownership.cpp
@@ -273,11 +273,13 @@
     return asks_owner && it.entry != nullptr ? home_domain(it) : nullptr;
 }
 
+// A decision that no upstream has answered may be replaced: had it reached
+// one, the new owner would have been in its chain and would know it.
 auto follow_opening(flow_context &it, const relay_header &header) -> bool {
-    const auto conflicting = it.entry != nullptr &&
-                             it.entry->upstream != header.upstream &&
-                             it.entry->role == flow_role::authoritative &&
-                             it.entry->phase != flow_phase::closed;
+    const auto conflicting =
+        it.entry != nullptr && it.entry->upstream != header.upstream &&
+        it.entry->role == flow_role::authoritative &&
+        it.entry->confirmed != 0 && it.entry->phase != flow_phase::closed;
     if (conflicting && it.inner.protocol == transport::tcp &&
         it.entry->initial_sequence == it.inner.tcp_sequence)
         return false;
--- /dev/null
+++ b/src/libdogwoodtrack/test_support.cpp
@@ -0,0 +1,206 @@
+#include "test_support.hpp"
+
+#include <cstring>
+
+namespace dogwoodtrack::test {
+
+namespace {
+
+constexpr endpoint fabric{.address = 1, .port = 1};
+constexpr mac_key key{1, 2, 3};
+
+auto domain_name(std::size_t index) -> std::string {
+    return "domain-" + std::to_string(index);
+}
+
+} // namespace
+
+auto caller(std::uint32_t number) -> endpoint {
+    return {.address = (10U << 24) + number / 1000,
+            .port = static_cast<std::uint16_t>(1024 + number % 1000)};
+}
+
+site::site(std::uint32_t limit, double tolerance, std::uint32_t replicas) {
+    terms.name = "ordering";
+    terms.address = {.address = 0xc6120001, .port = 443};
+    terms.imbalance_tolerance = tolerance;
+    terms.replicas = replicas;
+    for (std::uint32_t i = 0; i < 6; ++i)
+        terms.upstreams.push_back(
+            {.name = "u" + std::to_string(i),
+             .address = {.address = 0xac100001 + i, .port = 8443},
+             .failure_domain = domain_name(i % 3),
+             .connections = limit});
+    for (std::uint32_t i = 0; i < 9; ++i) {
+        auto it = std::make_unique<balancer>();
+        it->info.name = "b" + std::to_string(i);
+        it->info.id = hash_name(it->info.name);
+        it->info.failure_domain = hash_name(domain_name(i % 3));
+        it->info.link = {.address = 0x7f000001 + i, .port = 6081};
+        it->info.synced = {service_id("c", "ordering")};
+        it->lease.valid_until =
+            (now + std::chrono::hours{1}).time_since_epoch().count();
+        it->state = std::make_unique<packet_state>(
+            forwarding_options{
+                .key = key, .fabric = fabric, .flow_capacity = 10'000},
+            now - seconds{1}, it->lease, it->counters);
+        balancers.push_back(std::move(it));
+    }
+    publish();
+}
+
+auto site::publish() -> void {
+    std::vector<member> members;
+    for (const auto &it : balancers) {
+        auto info = it->info;
+        if (!it->up)
+            info.status = member_status::dead;
+        members.push_back(info);
+    }
+    for (const auto &it : balancers) {
+        auto view = std::make_shared<routing_view>();
+        const auto old = it->state->view;
+        view->self = it->info.id;
+        view->failure_domain = it->info.failure_domain;
+        service_route service{.id = service_id("c", "ordering"),
+                              .customer = "c",
+                              .name = "ordering",
+                              .address = terms.address,
+                              .imbalance_tolerance = terms.imbalance_tolerance,
+                              .replicas = terms.replicas,
+                              .idle_timeout = terms.idle_timeout};
+        for (const auto &up : terms.upstreams) {
+            const auto domain = hash_name(up.failure_domain);
+            const auto *before =
+                old ? old->find_upstream(up.address, transport::tcp) : nullptr;
+            view->by_upstream[route_key(up.address, transport::tcp)] =
+                static_cast<std::uint32_t>(view->upstreams.size());
+            if (service.domains.empty() ||
+                std::none_of(service.domains.begin(), service.domains.end(),
+                             [&](const domain_route &one) {
+                                 return one.failure_domain == domain;
+                             }))
+                service.domains.push_back(
+                    {.failure_domain = domain,
+                     .load = std::make_shared<domain_load>()});
+            for (auto &one : service.domains) {
+                if (one.failure_domain != domain)
+                    continue;
+                one.capacity += up.capacity;
+                one.reachable = true;
+                one.upstreams.push_back(
+                    static_cast<std::uint32_t>(view->upstreams.size()));
+            }
+            view->upstreams.push_back(
+                {.name = up.name,
+                 .address = up.address,
+                 .id = hash_name(to_string(up.address)),
+                 .failure_domain = domain,
+                 .capacity = up.capacity,
+                 .limit = up.connections,
+                 .in_service = !up.leaving,
+                 .load = before != nullptr
+                             ? before->load
+                             : std::make_shared<upstream_load>()});
+        }
+        for (auto &one : service.domains)
+            assign_owner(members, service, one);
+        view->by_service[route_key(terms.address, transport::tcp)] = 0;
+        view->services.push_back(std::move(service));
+        for (const auto &other : balancers)
+            view->links[other->info.id] = other->info.link;
+        it->state->view = view;
+    }
+}
+
+auto site::carry(std::size_t from) -> void {
+    auto &state = *balancers[from]->state;
+    const auto out = std::move(state.out);
+    state.out.clear();
+    for (const auto &packet : out) {
+        packet_buffer copy;
+        std::memcpy(copy.bytes.data() + packet_headroom, packet.outer.data(),
+                    packet.outer.size());
+        copy.offset = packet_headroom;
+        copy.size = packet.outer.size();
+        if (packet.to == fabric) {
+            to_fabric.emplace_back(packet.to, copy);
+            continue;
+        }
+        for (std::size_t i = 0; i < balancers.size(); ++i) {
+            if (balancers[i]->info.link != packet.to || !balancers[i]->up)
+                continue;
+            ++relays;
+            handle_packet(*balancers[i]->state, copy.view(), now);
+            carry(i);
+        }
+    }
+}
+
+auto site::deliver(std::size_t index, const packet_fields &fields) -> void {
+    packet_buffer buf;
+    const auto outer = build_packet(buf, fields);
+    handle_packet(*balancers[index]->state, outer, now);
+    carry(index);
+}
+
+auto site::last_destination() const -> endpoint {
+    if (to_fabric.empty())
+        return {};
+    auto copy = to_fabric.back().second;
+    const auto parsed = parse_packet(copy.view(), key);
+    return parsed.packet ? parsed.packet->inner.destination : endpoint{};
+}
+
+auto site::by_id(std::uint32_t id) -> balancer * {
+    return balancers[index_of(id)].get();
+}
+
+auto site::index_of(std::uint32_t id) const -> std::size_t {
+    for (std::size_t i = 0; i < balancers.size(); ++i) {
+        if (balancers[i]->info.id == id)
+            return i;
+    }
+    return 0;
+}
+
+auto site::domain_of(const endpoint &upstream) const -> std::uint32_t {
+    return balancers[0]
+        ->state->view->find_upstream(upstream, transport::tcp)
+        ->failure_domain;
+}
+
+auto site::owner_in(std::uint32_t domain) const -> std::uint32_t {
+    for (const auto &it : balancers) {
+        if (!it->up)
+            continue;
+        for (const auto &one : it->state->view->services[0].domains) {
+            if (one.failure_domain == domain)
+                return one.owner;
+        }
+    }
+    return 0;
+}
+
+auto site::drops(drop_kind kind) const -> std::uint64_t {
+    std::uint64_t sum = 0;
+    for (const auto &it : balancers)
+        sum += it->counters.drops[static_cast<std::size_t>(kind)];
+    return sum;
+}
+
+auto site::counted(packet_counter counter) const -> std::uint64_t {
+    std::uint64_t sum = 0;
+    for (const auto &it : balancers)
+        sum += it->counters.values[static_cast<std::size_t>(counter)];
+    return sum;
+}
+
+auto site::open_at(std::size_t index, const endpoint &upstream) const
+    -> std::uint32_t {
+    return balancers[index]
+        ->state->view->find_upstream(upstream, transport::tcp)
+        ->load->open;
+}
+
+} // namespace dogwoodtrack::test
--- a/src/libdogwoodtrack/view_builder.cpp
+++ b/src/libdogwoodtrack/view_builder.cpp
@@ -61,13 +61,18 @@
 }
 
 auto is_reachable(const blackboard &board, const std::vector<member> &members,
-                  std::uint32_t domain) -> bool {
+                  std::uint32_t domain, time_point now) -> bool {
     if (domain != board.self.failure_domain &&
         board.cut_domains.contains(domain))
         return false;
-    return std::any_of(members.begin(), members.end(), [&](const member &it) {
-        return it.failure_domain == domain && it.status != member_status::dead;
-    });
+    const auto known =
+        std::any_of(members.begin(), members.end(), [&](const member &it) {
+            return it.failure_domain == domain &&
+                   it.status != member_status::dead;
+        });
+    // Just after the start a domain is not yet known rather than cut off: a
+    // flow of its own must not be placed elsewhere.
+    return known || now - board.started < board.options.settle;
 }
 
 auto name_of(const blackboard &board, std::uint32_t id) -> std::string {
@@ -111,7 +116,8 @@
     for (const auto &it : terms.upstreams)
         add_upstream(board, view, service, terms, it);
     for (auto &domain : service.domains) {
-        domain.reachable = is_reachable(board, members, domain.failure_domain);
+        domain.reachable =
+            is_reachable(board, members, domain.failure_domain, now);
         assign_owner(members, service, domain);
         note_owner(board, service, domain, now);
     }
