--- a/src/include/dogwoodtrack/forwarding.hpp
+++ b/src/include/dogwoodtrack/forwarding.hpp
@@ -28,7 +28,7 @@
     refused,
     learned,
     adopted,
-    count_
+    count
 };
 
 /// Counter name, for example `relayed_open`. Thread safe.
@@ -37,10 +37,10 @@
 /// Counters of one worker. Written by the worker, read by any thread.
 struct packet_counters {
     std::array<std::atomic<std::uint64_t>,
-               static_cast<std::size_t>(packet_counter::count_)>
+               static_cast<std::size_t>(packet_counter::count)>
         values{};
     std::array<std::atomic<std::uint64_t>,
-               static_cast<std::size_t>(drop_kind::count_)>
+               static_cast<std::size_t>(drop_kind::count)>
         drops{};
     std::atomic<std::uint64_t> flows{0};
 };
--- a/src/include/dogwoodtrack/metrics.hpp
+++ b/src/include/dogwoodtrack/metrics.hpp
@@ -14,7 +14,7 @@
     batch_size,    ///< packets in one batch
     relay_hops,    ///< hops of relayed packets on arrival
     spread_time,   ///< contract acceptance after its write, milliseconds
-    count_
+    count
 };
 
 /// Histograms with logarithmic bins. Each thread fills its own set; a set
--- a/src/include/dogwoodtrack/packet.hpp
+++ b/src/include/dogwoodtrack/packet.hpp
@@ -29,7 +29,7 @@
     table_full,
     stale_answer,
     queue_full,
-    count_
+    count
 };
 
 /// Counter name of a drop kind, for example `bad_checksum`. Thread safe.
--- a/src/include/dogwoodtrack/timeline.hpp
+++ b/src/include/dogwoodtrack/timeline.hpp
@@ -37,7 +37,7 @@
     platform_lost,
     platform_back,
     stop_deadline_missed,
-    count_
+    count
 };
 
 /// Name of an event kind, for example `owner_changed`. Thread safe.
--- a/src/libdogwoodtrack/contract.cpp
+++ b/src/libdogwoodtrack/contract.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t connections_max = 1'000'000;
 constexpr std::uint32_t slots_max = 100'000;
 constexpr std::uint32_t replicas_max = 4;
-constexpr std::int64_t idle_seconds_max = 7 * 24 * 3600;
+constexpr std::int64_t idle_seconds_max = 604'800;
 constexpr std::int64_t leave_seconds_max = 3600;
 constexpr std::size_t services_max = 20'000;
 constexpr std::size_t upstreams_max = 100'000;
--- a/src/libdogwoodtrack/forwarding.cpp
+++ b/src/libdogwoodtrack/forwarding.cpp
@@ -219,8 +219,8 @@
 } // namespace
 
 auto to_string(packet_counter counter) -> std::string_view {
-    static constexpr std::array<std::string_view, static_cast<std::size_t>(
-                                                      packet_counter::count_)>
+    static constexpr std::array<std::string_view,
+                                static_cast<std::size_t>(packet_counter::count)>
         names{"received",
               "forwarded",
               "answered",
--- a/src/libdogwoodtrack/health.cpp
+++ b/src/libdogwoodtrack/health.cpp
@@ -53,7 +53,8 @@
     }
     if (times.empty())
         return 0;
-    const auto middle = times.begin() + times.size() / 2;
+    const auto middle =
+        times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
     std::nth_element(times.begin(), middle, times.end());
     return *middle;
 }
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -115,6 +115,7 @@
             by_domain[it.info.failure_domain].push_back(&it);
     }
     std::vector<const peer_state *> contacts;
+    contacts.reserve(by_domain.size());
     for (const auto &[domain, list] : by_domain)
         contacts.push_back(list[board.domain_rotation % list.size()]);
     return contacts;
@@ -133,11 +134,11 @@
                    member_status before) -> void {
     if (peer.info.status == before)
         return;
-    const auto kind = peer.info.status == member_status::live
-                          ? event_kind::member_joined
-                      : peer.info.status == member_status::leaving
-                          ? event_kind::member_leaving
-                          : event_kind::member_dead;
+    auto kind = event_kind::member_dead;
+    if (peer.info.status == member_status::live)
+        kind = event_kind::member_joined;
+    else if (peer.info.status == member_status::leaving)
+        kind = event_kind::member_leaving;
     board.events->record(kind, peer.info.name, 0, peer.domain_name);
 }
 
--- a/src/libdogwoodtrack/metrics.cpp
+++ b/src/libdogwoodtrack/metrics.cpp
@@ -14,7 +14,7 @@
 namespace bh = boost::histogram;
 
 constexpr unsigned bins = 48;
-constexpr auto metric_count = static_cast<std::size_t>(metric::count_);
+constexpr auto metric_count = static_cast<std::size_t>(metric::count);
 
 struct metric_axis {
     const char *name;
--- a/src/libdogwoodtrack/operator_port.cpp
+++ b/src/libdogwoodtrack/operator_port.cpp
@@ -34,8 +34,8 @@
 
 auto counters_json(const control_context &it) -> ordered_json {
     ordered_json out;
-    for (std::size_t i = 0;
-         i < static_cast<std::size_t>(packet_counter::count_); ++i) {
+    for (std::size_t i = 0; i < static_cast<std::size_t>(packet_counter::count);
+         ++i) {
         std::uint64_t sum = 0;
         for (const auto &worker : it.workers)
             sum += worker->counters.values[i].load();
@@ -46,7 +46,7 @@
 
 auto drops_json(const control_context &it) -> ordered_json {
     ordered_json out = ordered_json::object();
-    for (std::size_t i = 0; i < static_cast<std::size_t>(drop_kind::count_);
+    for (std::size_t i = 0; i < static_cast<std::size_t>(drop_kind::count);
          ++i) {
         std::uint64_t sum = 0;
         for (const auto &worker : it.workers)
--- a/src/libdogwoodtrack/packet.cpp
+++ b/src/libdogwoodtrack/packet.cpp
@@ -159,7 +159,7 @@
         return drop_kind::truncated;
     if (bytes[0] >> 4 != 4)
         return drop_kind::not_ipv4;
-    const std::size_t header = (bytes[0] & 0x0f) * 4U;
+    const std::size_t header = (bytes[0] & std::size_t{0x0f}) * 4;
     const std::size_t total = load16(bytes.data() + 2);
     if (header < ip_min_size || total < header || total > bytes.size())
         return drop_kind::truncated;
@@ -183,7 +183,7 @@
     inner.source = {.address = load32(ip + 12), .port = load16(l4)};
     inner.destination = {.address = load32(ip + 16), .port = load16(l4 + 2)};
     if (is_tcp) {
-        const std::size_t data_offset = (l4[12] >> 4) * 4U;
+        const std::size_t data_offset = std::size_t{l4[12] >> 4U} * 4;
         if (data_offset < tcp_min_size || header + data_offset > total)
             return drop_kind::truncated;
         inner.tcp_flags = l4[13];
@@ -218,7 +218,7 @@
 
 auto to_string(drop_kind kind) -> std::string_view {
     static constexpr std::array<std::string_view,
-                                static_cast<std::size_t>(drop_kind::count_)>
+                                static_cast<std::size_t>(drop_kind::count)>
         names{"truncated",
               "not_geneve",
               "not_ipv4",
@@ -243,7 +243,7 @@
     -> parse_outcome {
     if (bytes.size() < geneve_size)
         return {.packet = {}, .reason = drop_kind::truncated};
-    const std::size_t options = (bytes[0] & 0x3f) * 4U;
+    const std::size_t options = (bytes[0] & std::size_t{0x3f}) * 4;
     if (bytes[0] >> 6 != 0 || load16(bytes.data() + 2) != protocol_ipv4)
         return {.packet = {}, .reason = drop_kind::not_geneve};
     if (bytes.size() < geneve_size + options)
@@ -258,7 +258,8 @@
     const auto *option = bytes.data() + geneve_size;
     if (options != relay_option_size || load16(option) != option_class ||
         option[2] != option_type ||
-        (option[3] & 0x1f) * 4U != relay_option_size - option_header_size)
+        (option[3] & std::size_t{0x1f}) * 4 !=
+            relay_option_size - option_header_size)
         return {.packet = {}, .reason = drop_kind::bad_relay};
     const auto *body = option + option_header_size;
     const auto mac = mac_of(body, packet.inner, key);
@@ -388,8 +389,9 @@
 
 auto payload_of(const inner_packet &inner) -> std::span<const std::uint8_t> {
     const auto *l4 = inner.bytes.data() + inner.l4_offset;
-    const std::size_t header =
-        inner.protocol == transport::tcp ? (l4[12] >> 4) * 4U : udp_size;
+    const std::size_t header = inner.protocol == transport::tcp
+                                   ? std::size_t{l4[12] >> 4U} * 4
+                                   : udp_size;
     return inner.bytes.subspan(inner.l4_offset + header);
 }
 
--- a/src/libdogwoodtrack/platform_client.cpp
+++ b/src/libdogwoodtrack/platform_client.cpp
@@ -88,8 +88,8 @@
     std::size_t start = 0;
     for (auto end = pending.find('\n'); end != std::string::npos;
          end = pending.find('\n', start)) {
-        const auto event = json::parse(pending.begin() + start,
-                                       pending.begin() + end, nullptr, false);
+        const auto event = json::parse(pending.data() + start,
+                                       pending.data() + end, nullptr, false);
         if (event.is_object())
             handle(event);
         start = end + 1;
--- a/src/libdogwoodtrack/timeline.cpp
+++ b/src/libdogwoodtrack/timeline.cpp
@@ -39,7 +39,7 @@
 
 auto to_string(event_kind kind) -> std::string {
     static const std::array<const char *,
-                            static_cast<std::size_t>(event_kind::count_)>
+                            static_cast<std::size_t>(event_kind::count)>
         names{"started",           "stopping",          "stopped",
               "member_joined",     "member_leaving",    "member_dead",
               "member_gone",       "domain_cut",        "domain_healed",
--- a/src/libstandin/upstreams.cpp
+++ b/src/libstandin/upstreams.cpp
@@ -71,11 +71,12 @@
     const auto mark = static_cast<std::uint16_t>(index + 1);
     // Any request of one flow at a second upstream is a duplicate, too: the
     // flow has one upstream for life.
-    if (flow->request_at != 0 && flow->request_at != mark) {
+    const auto second_request =
+        flow->request_at != 0 && flow->request_at != mark;
+    const auto second_upstream =
+        flow->answered_by != 0 && flow->answered_by != mark;
+    if (second_request || second_upstream)
         ++it.report.payloads_duplicated;
-    } else if (flow->answered_by != 0 && flow->answered_by != mark) {
-        ++it.report.payloads_duplicated;
-    }
     flow->request_at = mark;
 }
 
