health: weights ignore scheduling noise; leaving flows no longer count as load

Cause: weights fell on answers of one millisecond against a median of half of one, and a domain's load counted flows of an upstream that was leaving.

--- a/src/libdogwoodtrack/health.cpp
+++ b/src/libdogwoodtrack/health.cpp
@@ -15,6 +15,8 @@
 // A host may answer this much slower than the median before it is weighed
 // down.
 constexpr double tolerated_slowness = 2.0;
+// Differences below this say more about scheduling than about hosts.
+constexpr double tolerated_delay_us = 20'000;
 constexpr double ejected_share_max = 0.5;
 
 struct observation {
@@ -68,9 +70,10 @@
 
 auto wanted_weight(const observation &it, double median) -> std::uint32_t {
     const double us = it.upstream->load->answer_us.load();
-    if (median <= 0 || us <= median * tolerated_slowness)
+    const auto tolerated = median * tolerated_slowness + tolerated_delay_us;
+    if (median <= 0 || us <= tolerated)
         return upstream_load::full_weight;
-    const auto share = median * tolerated_slowness / us;
+    const auto share = tolerated / us;
     return std::max(weight_floor, static_cast<std::uint32_t>(
                                       upstream_load::full_weight * share));
 }
@@ -147,8 +150,11 @@
 auto count_open(const routing_view &view, const domain_route &domain)
     -> std::uint32_t {
     std::uint32_t open = 0;
-    for (const auto index : domain.upstreams)
-        open += view.upstreams[index].load->open.load();
+    for (const auto index : domain.upstreams) {
+        // Flows of a leaving upstream say nothing about the others' load.
+        const auto &upstream = view.upstreams[index];
+        open += upstream.in_service ? upstream.load->open.load() : 0;
+    }
     return open;
 }
 
--- a/src/libdogwoodtrack/packet.cpp
+++ b/src/libdogwoodtrack/packet.cpp
@@ -183,7 +183,7 @@
     inner.source = {.address = load32(ip + 12), .port = load16(l4)};
     inner.destination = {.address = load32(ip + 16), .port = load16(l4 + 2)};
     if (is_tcp) {
-        const std::size_t data_offset = std::size_t{l4[12] >> 4U} * 4;
+        const std::size_t data_offset = static_cast<std::size_t>(l4[12] >> 4) * 4;
         if (data_offset < tcp_min_size || header + data_offset > total)
             return drop_kind::truncated;
         inner.tcp_flags = l4[13];
@@ -390,7 +390,7 @@
 auto payload_of(const inner_packet &inner) -> std::span<const std::uint8_t> {
     const auto *l4 = inner.bytes.data() + inner.l4_offset;
     const std::size_t header = inner.protocol == transport::tcp
-                                   ? std::size_t{l4[12] >> 4U} * 4
+                                   ? static_cast<std::size_t>(l4[12] >> 4) * 4
                                    : udp_size;
     return inner.bytes.subspan(inner.l4_offset + header);
 }
