--- a/src/libdogwoodtrack/packet.cpp
+++ b/src/libdogwoodtrack/packet.cpp
@@ -183,7 +183,8 @@
     inner.source = {.address = load32(ip + 12), .port = load16(l4)};
     inner.destination = {.address = load32(ip + 16), .port = load16(l4 + 2)};
     if (is_tcp) {
-        const std::size_t data_offset = static_cast<std::size_t>(l4[12] >> 4) * 4;
+        const std::size_t data_offset =
+            static_cast<std::size_t>(l4[12] >> 4) * 4;
         if (data_offset < tcp_min_size || header + data_offset > total)
             return drop_kind::truncated;
         inner.tcp_flags = l4[13];
