ownership: an unanswered decision is used only under the lease

Cause, found by split-domain: an owner that was cut off placed a flow within its lease, its chain was lost, the majority placed the same flow, and the cut off one later forwarded payload by its own record. A record is used once its upstream answered; losing the lease distrusts records as a pause does, and they are copied anew. Ruled out: the replicas' fence, which held.

--- a/src/dogwoodtrack-bench/control_bench.cpp
+++ b/src/dogwoodtrack-bench/control_bench.cpp
@@ -120,7 +120,7 @@
         for (auto &[id, peer] : site.board.peers)
             peer.heard = now;
         tick_membership(site.board, now, actions);
-        renew_lease(site.board, now);
+        renew_lease(site.board, now, actions);
         messages += static_cast<double>(actions.messages.size());
     }
     run.counters["messages"] = messages / static_cast<double>(run.iterations());
--- a/src/dogwoodtrack-scenario/session.cpp
+++ b/src/dogwoodtrack-scenario/session.cpp
@@ -423,8 +423,8 @@
     network().set_faults({.loss = faults.value("loss", 0.0),
                           .duplicate = faults.value("duplicate", 0.0),
                           .reorder = to_ms(faults.value("reorder", 0.0))});
-    for (const auto &[name, weight] :
-         faults.value("weights", json::object()).items()) {
+    const auto weights = faults.value("weights", json::object());
+    for (const auto &[name, weight] : weights.items()) {
         need_instance(name);
         fleet_->fabric_uses(name, true, weight.get<double>());
     }
--- a/src/include/dogwoodtrack/flow_records.hpp
+++ b/src/include/dogwoodtrack/flow_records.hpp
@@ -31,13 +31,12 @@
                     std::size_t slots, time_point now,
                     std::vector<flow_record> &out) -> std::size_t;
 
-/// After a pause: forgets flows placed within `window` that no upstream has
-/// answered, because a successor may have placed them elsewhere.
-auto forget_unconfirmed(packet_state &state, milliseconds window,
-                        time_point now) -> void;
-
-/// Counts anew which open flows use which upstream's places, after a change
-/// of the routing view gave an upstream a new load record.
-auto recount_loads(packet_state &state) -> void;
+/// Forgets flows that this instance placed and no upstream has answered: a
+/// successor may have placed them elsewhere meanwhile.
+auto forget_unconfirmed(packet_state &state) -> void;
+
+/// Forgets all records of a service, before they are copied anew.
+auto forget_service(packet_state &state, const endpoint &service,
+                    transport protocol) -> void;
 
 } // namespace dogwoodtrack
--- a/src/include/dogwoodtrack/flow_table.hpp
+++ b/src/include/dogwoodtrack/flow_table.hpp
@@ -29,8 +29,9 @@
                        ///< when another failure domain took the flow
     flow_role role = flow_role::learned;
     flow_phase phase = flow_phase::opening;
-    std::uint8_t fin_seen = 0; ///< bit 0 caller, bit 1 upstream
-    std::uint8_t confirmed = 0;
+    std::uint8_t fin_seen = 0;    ///< bit 0 caller, bit 1 upstream
+    bool confirmed : 1 = false;   ///< its upstream has answered
+    bool placed_here : 1 = false; ///< this instance chose the upstream
     std::uint32_t last_seen = 0;
     std::uint32_t opened = 0;
     std::uint32_t last_refresh = 0;
--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -104,9 +104,9 @@
     bool stopping = false;
     time_point started{};
     time_point last_tick{};
-    time_point deaf_until{}; ///< messages of before a pause are ignored
-    milliseconds gap{};      ///< length of the last pause
-    std::set<std::uint32_t> paused_services; ///< synced before the pause
+    time_point deaf_until{};   ///< messages of before a pause are ignored
+    time_point absent_since{}; ///< records may be out of date since then
+    std::set<std::uint32_t> outdated_services; ///< synced until then
 
     std::map<std::uint32_t, peer_state> peers;
     std::vector<endpoint> seeds;
@@ -151,7 +151,12 @@
 
 /// Work for the packet workers.
 struct worker_request {
-    enum class kind { import_records, export_records, forget };
+    enum class kind {
+        import_records,
+        export_records,
+        forget,        ///< own placements that nobody has answered
+        forget_service ///< all records of one service
+    };
     kind what{};
     std::size_t worker = 0; ///< of `export_records`
     std::vector<flow_record> records;
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -228,7 +228,7 @@
         read_reports(it, actions);
         answer_questions(it);
         tick_membership(board, now, actions);
-        renew_lease(board, now);
+        renew_lease(board, now, actions);
         publish_view(it, now);
         report_loads(board);
         tick_copying(board, now, actions);
--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -43,11 +43,23 @@
                  control_actions &actions) -> void {
     board.self.synced.push_back(service);
     board.syncs.erase(service);
-    board.paused_services.erase(service);
+    board.outdated_services.erase(service);
     ++board.version;
     announce_self(board, now, actions);
 }
 
+auto forget_records(blackboard &board, std::uint32_t id,
+                    control_actions &actions) -> void {
+    board.outdated_services.erase(id);
+    const auto *service = service_by_id(board, id);
+    if (service != nullptr)
+        actions.requests.push_back(
+            {.what = worker_request::kind::forget_service,
+             .records = {},
+             .service = service->address,
+             .protocol = service->protocol});
+}
+
 auto request_sync(blackboard &board, std::uint32_t service, std::uint32_t owner,
                   time_point now, control_actions &actions) -> void {
     auto &progress = board.syncs[service];
@@ -60,9 +72,13 @@
         board.events->record(event_kind::sync_started, peer->second.info.name,
                              0, std::to_string(service));
     progress = {.source = owner, .requested = now};
-    const auto partial = board.paused_services.contains(service) &&
-                         board.gap < partial_copy_limit;
-    const auto age = partial ? board.gap + partial_copy_margin : all_ages;
+    const auto outdated = board.outdated_services.contains(service);
+    const auto absent =
+        std::chrono::duration_cast<milliseconds>(now - board.absent_since);
+    const auto partial = outdated && absent < partial_copy_limit;
+    const auto age = partial ? absent + partial_copy_margin : all_ages;
+    if (outdated && !partial)
+        forget_records(board, service, actions);
     wire::Envelope message;
     message.mutable_sync_request()->add_services(service);
     message.mutable_sync_request()->set_age_ms(
--- a/src/libdogwoodtrack/flow_records.cpp
+++ b/src/libdogwoodtrack/flow_records.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds closed_hold{60'000};
 constexpr milliseconds opening_hold{75'000};
 constexpr milliseconds forwarded_idle{75'000};
+// Longest time a copy may have waited between its two ends.
+constexpr milliseconds copy_delay{5000};
 constexpr std::uint8_t fin_caller = 1;
 constexpr std::uint8_t fin_upstream = 2;
 constexpr std::uint8_t fin_both = fin_caller | fin_upstream;
@@ -62,7 +64,7 @@
 
 auto unanswered(const flow_entry &entry) -> bool {
     return entry.role == flow_role::authoritative &&
-           entry.phase == flow_phase::opening && entry.confirmed == 0 &&
+           entry.phase == flow_phase::opening && !entry.confirmed &&
            entry.key.protocol == transport::tcp;
 }
 
@@ -100,7 +102,7 @@
 auto confirm_flow(packet_state &state, flow_entry &entry, time_point now)
     -> void {
     entry.last_seen = state.tick(now);
-    entry.confirmed = 1;
+    entry.confirmed = true;
     if (entry.phase == flow_phase::opening)
         entry.phase = flow_phase::established;
 }
@@ -124,7 +126,7 @@
     const auto held = holds_place(*entry) && entry->upstream == upstream;
     if (!held)
         give_place_back(state, *entry);
-    const auto confirmed = held && entry->confirmed != 0;
+    const auto confirmed = held && entry->confirmed;
     *entry = placed;
     if (confirmed)
         confirm_flow(state, *entry, now);
@@ -166,15 +168,16 @@
 
 auto import_record(packet_state &state, const flow_record &record,
                    time_point now) -> bool {
-    const auto *known = state.flows.find(record.key);
+    auto *known = state.flows.find(record.key);
     if (record.closed) {
-        if (auto *entry = state.flows.find(record.key);
-            entry != nullptr && entry->upstream == record.upstream)
-            close_flow(state, *entry);
+        if (known != nullptr && known->upstream == record.upstream)
+            close_flow(state, *known);
         return true;
     }
-    // What arrived with a packet is newer than a copy.
-    if (known != nullptr && known->role == flow_role::authoritative)
+    // What arrived with a packet of late is newer than a copy.
+    if (known != nullptr && known->role == flow_role::authoritative &&
+        (known->upstream == record.upstream ||
+         state.tick(now) - known->opened < ticks(copy_delay)))
         return true;
     auto *entry = bind_flow(state, record.key, record.upstream, false, now);
     if (entry == nullptr)
@@ -204,25 +207,26 @@
     return next >= state.flows.slots() ? 0 : next;
 }
 
-auto forget_unconfirmed(packet_state &state, milliseconds window,
-                        time_point now) -> void {
-    const auto since =
-        state.tick(now) - std::min(state.tick(now), ticks(window));
+auto forget_unconfirmed(packet_state &state) -> void {
     state.flows.erase_if([&](const flow_entry &entry) {
         const auto doubtful = entry.role == flow_role::authoritative &&
-                              entry.confirmed == 0 && entry.opened >= since;
+                              entry.placed_here && !entry.confirmed &&
+                              entry.phase != flow_phase::closed;
         if (doubtful)
             give_place_back(state, entry);
         return doubtful;
     });
 }
 
-auto recount_loads(packet_state &state) -> void {
-    state.flows.for_each([&](const flow_entry &entry) {
-        if (!holds_place(entry))
-            return;
-        if (auto *load = load_of(state, entry))
-            load->open.fetch_add(1, std::memory_order_acq_rel);
+auto forget_service(packet_state &state, const endpoint &service,
+                    transport protocol) -> void {
+    state.flows.erase_if([&](const flow_entry &entry) {
+        const auto stale = entry.role == flow_role::authoritative &&
+                           entry.key.service == service &&
+                           entry.key.protocol == protocol;
+        if (stale)
+            give_place_back(state, entry);
+        return stale;
     });
 }
 
--- a/src/libdogwoodtrack/forwarding.cpp
+++ b/src/libdogwoodtrack/forwarding.cpp
@@ -102,9 +102,16 @@
     send_onward(it, upstream->address);
 }
 
+// A record may be used once its upstream is known to have answered. Before
+// that only the owner can tell whether the decision stands.
+auto may_use_record(const flow_context &it) -> bool {
+    return it.entry != nullptr && it.entry->forwarded_domain() == 0 &&
+           (it.entry->role == flow_role::learned || it.entry->confirmed);
+}
+
 auto handle_caller_data(flow_context &it) -> void {
     const auto *domain = home_domain(it);
-    const auto known = it.entry != nullptr && it.entry->forwarded_domain() == 0;
+    const auto known = may_use_record(it);
     if (known) {
         const auto refresh = domain != nullptr && domain->owner != 0 &&
                              domain->owner != it.state.view->self &&
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -10,7 +10,6 @@
 // at most this many, in turn.
 constexpr std::size_t loads_per_heartbeat = 16;
 constexpr milliseconds drain_after_pause{300};
-constexpr milliseconds doubt_before_pause{5000};
 
 auto describe_self(const blackboard &board) -> wire::MemberState {
     wire::MemberState state;
@@ -374,31 +373,36 @@
     send_to(actions, peer, reply);
 }
 
+auto distrust_records(blackboard &board, time_point since,
+                      control_actions &actions) -> void {
+    if (board.outdated_services.empty())
+        board.absent_since = since;
+    board.outdated_services.insert(board.self.synced.begin(),
+                                   board.self.synced.end());
+    board.self.synced.clear();
+    board.syncs.clear();
+    board.sync_jobs.clear();
+    ++board.version;
+    board.view_stale = true;
+    actions.requests.push_back(
+        {.what = worker_request::kind::forget, .records = {}, .service = {}});
+}
+
 auto notice_pause(blackboard &board, time_point now, control_actions &actions)
     -> void {
     const auto last = board.last_tick;
     board.last_tick = now;
     if (last == time_point{} || now - last < board.options.lease)
         return;
-    board.gap = std::chrono::duration_cast<milliseconds>(now - last);
     board.deaf_until = now + drain_after_pause;
     board.lease->valid_until.store(0);
-    board.paused_services.insert(board.self.synced.begin(),
-                                 board.self.synced.end());
-    board.self.synced.clear();
-    board.syncs.clear();
-    board.sync_jobs.clear();
-    ++board.version;
-    board.view_stale = true;
+    distrust_records(board, last, actions);
     // What was heard before the pause says nothing about now.
     for (auto &[id, peer] : board.peers)
         peer.heard = std::max(peer.heard, now - board.options.lease);
-    actions.requests.push_back({.what = worker_request::kind::forget,
-                                .records = {},
-                                .service = {},
-                                .age = board.gap + doubt_before_pause});
+    const auto gap = std::chrono::duration_cast<milliseconds>(now - last);
     board.events->record(event_kind::pause_noticed, board.self.name, 0,
-                         std::to_string(board.gap.count()) + " ms");
+                         std::to_string(gap.count()) + " ms");
 }
 
 auto tick_membership(blackboard &board, time_point now,
@@ -408,7 +412,8 @@
     send_heartbeats(board, now, actions);
 }
 
-auto renew_lease(blackboard &board, time_point now) -> void {
+auto renew_lease(blackboard &board, time_point now, control_actions &actions)
+    -> void {
     std::vector<std::pair<time_point, std::uint32_t>> heard{
         {now, board.self.id}};
     for (const auto &[id, it] : board.peers) {
@@ -437,6 +442,9 @@
     const auto held = now < until;
     if (held != board.lease_was_held) {
         board.lease_was_held = held;
+        // Others may place this domain's flows from now on.
+        if (!held)
+            distrust_records(board, now - board.options.lease, actions);
         board.events->record(held ? event_kind::lease_held
                                   : event_kind::lease_lost,
                              board.self.name);
--- a/src/libdogwoodtrack/membership.hpp
+++ b/src/libdogwoodtrack/membership.hpp
@@ -20,10 +20,17 @@
 auto tick_membership(blackboard &board, time_point now,
                      control_actions &actions) -> void;
 
+/// Takes its own records for outdated since then: this instance owns nothing
+/// until it has copied what changed.
+auto distrust_records(blackboard &board, time_point since,
+                      control_actions &actions) -> void;
+
 /// Renews the lease if a majority of the failure domain is heard. The
 /// majority counts every member that was not seen to leave and that the
-/// platform still lists; an even half needs the lowest identifier.
-auto renew_lease(blackboard &board, time_point now) -> void;
+/// platform still lists; an even half needs the lowest identifier. When the
+/// lease is lost the records are no longer trusted.
+auto renew_lease(blackboard &board, time_point now, control_actions &actions)
+    -> void;
 
 /// Takes the platform's list of balancers into account.
 auto on_balancers_listed(blackboard &board, time_point now) -> void;
--- a/src/libdogwoodtrack/membership_test.cpp
+++ b/src/libdogwoodtrack/membership_test.cpp
@@ -62,11 +62,11 @@
 TEST_CASE("a minority loses the lease, a majority keeps it") {
     bench it(3);
     it.hear("b1", start + seconds{10});
-    renew_lease(it.board, start + seconds{10});
+    renew_lease(it.board, start + seconds{10}, it.actions);
     CHECK(it.lease.holds(start + seconds{10}));
     CHECK(it.lease.holds(start + milliseconds{10'999}));
     CHECK(!it.lease.holds(start + milliseconds{11'001}));
-    renew_lease(it.board, start + seconds{12});
+    renew_lease(it.board, start + seconds{12}, it.actions);
     CHECK(!it.lease.holds(start + seconds{12}));
 }
 
@@ -86,7 +86,7 @@
                 if (i / (size / 2) == half)
                     it.hear(name, start + seconds{60});
             }
-            renew_lease(it.board, start + seconds{60});
+            renew_lease(it.board, start + seconds{60}, it.actions);
             holding += it.lease.holds(start + seconds{60}) ? 1 : 0;
         }
         CHECK(holding == 1);
@@ -97,14 +97,14 @@
     bench it(3);
     const auto now = start + seconds{10};
     tick_membership(it.board, now, it.actions);
-    renew_lease(it.board, now);
+    renew_lease(it.board, now, it.actions);
     CHECK(!it.lease.holds(now));
     it.listed("b1", false);
     it.listed("b2", true);
-    renew_lease(it.board, now);
+    renew_lease(it.board, now, it.actions);
     CHECK(it.lease.holds(now) == (it.board.self.id < hash_name("b2")));
     it.listed("b2", false);
-    renew_lease(it.board, now);
+    renew_lease(it.board, now, it.actions);
     CHECK(it.lease.holds(now));
 }
 
@@ -112,16 +112,28 @@
     bench it(3);
     it.board.self.synced = {1, 2, 3};
     notice_pause(it.board, start, it.actions);
-    renew_lease(it.board, start);
+    renew_lease(it.board, start, it.actions);
     CHECK(it.lease.holds(start));
     notice_pause(it.board, start + seconds{5}, it.actions);
     CHECK(!it.lease.holds(start + seconds{5}));
     CHECK(it.board.self.synced.empty());
     CHECK(it.board.deaf_until > start + seconds{5});
-    REQUIRE(it.actions.requests.size() == 1);
+    REQUIRE(!it.actions.requests.empty());
     CHECK(it.actions.requests[0].what == worker_request::kind::forget);
 }
 
+TEST_CASE("a lease that was lost leaves the records to be copied anew") {
+    bench it(3);
+    it.board.self.synced = {7};
+    it.hear("b1", start + seconds{1});
+    renew_lease(it.board, start + seconds{1}, it.actions);
+    CHECK(it.board.self.synced.size() == 1);
+    renew_lease(it.board, start + seconds{3}, it.actions);
+    CHECK(it.board.self.synced.empty());
+    CHECK(it.board.outdated_services.contains(7));
+    CHECK(it.board.absent_since <= start + seconds{2});
+}
+
 TEST_CASE("silence makes a peer dead and its own word makes it live") {
     bench it(3);
     const auto now = start + seconds{5};
--- a/src/libdogwoodtrack/ownership.cpp
+++ b/src/libdogwoodtrack/ownership.cpp
@@ -62,6 +62,7 @@
         return;
     }
     entry->initial_sequence = it.inner.tcp_sequence;
+    entry->placed_here = true;
     it.entry = entry;
     replicate(it, relay_kind::open, domain, upstream);
 }
@@ -226,6 +227,9 @@
     -> void {
     if (it.entry == nullptr)
         return pass_lookup(it, domain, kind);
+    // Without an answer and a lease a successor may know better.
+    if (!it.entry->confirmed && !it.state.lease.holds(it.now))
+        return drop_packet(it.state, drop_kind::not_placing);
     confirm_flow(it.state, *it.entry, it.now);
     const auto upstream = it.entry->upstream;
     const auto asked = kind == relay_kind::lookup && it.asker != 0 &&
@@ -245,8 +249,10 @@
 auto refresh_flow(flow_context &it, const domain_route &domain,
                   const endpoint &hint) -> void {
     const auto *upstream = it.state.view->find_upstream(hint, it.key.protocol);
+    const auto doubtful = it.entry != nullptr && !it.entry->confirmed &&
+                          it.entry->upstream != hint;
     const auto lacking =
-        it.entry == nullptr || it.entry->role == flow_role::learned;
+        it.entry == nullptr || doubtful || it.entry->role == flow_role::learned;
     if (lacking) {
         if (upstream == nullptr ||
             &it.state.view->services[upstream->service] != &it.service)
@@ -278,8 +284,8 @@
 auto follow_opening(flow_context &it, const relay_header &header) -> bool {
     const auto conflicting =
         it.entry != nullptr && it.entry->upstream != header.upstream &&
-        it.entry->role == flow_role::authoritative &&
-        it.entry->confirmed != 0 && it.entry->phase != flow_phase::closed;
+        it.entry->role == flow_role::authoritative && it.entry->confirmed &&
+        it.entry->phase != flow_phase::closed;
     if (conflicting && it.inner.protocol == transport::tcp &&
         it.entry->initial_sequence == it.inner.tcp_sequence)
         return false;
--- a/src/libdogwoodtrack/ownership_test.cpp
+++ b/src/libdogwoodtrack/ownership_test.cpp
@@ -231,12 +231,24 @@
     CHECK(site.open_at(site.index_of(site.owner_in(domain)), chosen) == 1);
 }
 
+TEST_CASE("a decision that nobody answered is not used without a lease") {
+    test::site site;
+    site.deliver(0, syn(site, 51));
+    const auto chosen = site.last_destination();
+    const auto owner = site.index_of(site.owner_in(site.domain_of(chosen)));
+    site.balancers[owner]->lease.valid_until = 0;
+    site.to_fabric.clear();
+    site.deliver(owner, data(site, 51));
+    CHECK(site.to_fabric.empty());
+    CHECK(site.drops(drop_kind::not_placing) == 1);
+}
+
 TEST_CASE("flows placed just before a pause are forgotten after it") {
     test::site site;
     site.deliver(0, syn(site, 41));
     const auto chosen = site.last_destination();
     const auto owner = site.index_of(site.owner_in(site.domain_of(chosen)));
-    forget_unconfirmed(*site.balancers[owner]->state, seconds{5}, site.now);
+    forget_unconfirmed(*site.balancers[owner]->state);
     CHECK(site.open_at(owner, chosen) == 0);
     CHECK(site.balancers[owner]->state->flows.find(
               {.caller = caller(41), .service = site.terms.address}) ==
--- a/src/libdogwoodtrack/worker.cpp
+++ b/src/libdogwoodtrack/worker.cpp
@@ -43,7 +43,9 @@
         return report(it.self, std::move(answer));
     }
     case worker_request::kind::forget:
-        forget_unconfirmed(state, request.age, now);
+        return forget_unconfirmed(state);
+    case worker_request::kind::forget_service:
+        forget_service(state, request.service, request.protocol);
     }
 }
 
