--- a/src/dogwoodtrack-bench/control_bench.cpp
+++ b/src/dogwoodtrack-bench/control_bench.cpp
@@ -110,15 +110,14 @@
 auto membership_turn(benchmark::State &run) -> void {
     control_site site;
     site.add_members(static_cast<std::size_t>(run.range(0)), 19);
+    // Nobody falls silent while this runs.
     for (auto &[id, peer] : site.board.peers)
-        peer.heard = time_point{std::chrono::hours{1}};
+        peer.heard = time_point{std::chrono::hours{100'000}};
     auto now = time_point{std::chrono::hours{1}};
     double messages = 0;
     for (auto _ : run) {
         control_actions actions;
         now += milliseconds{250};
-        for (auto &[id, peer] : site.board.peers)
-            peer.heard = now;
         tick_membership(site.board, now, actions);
         renew_lease(site.board, now, actions);
         messages += static_cast<double>(actions.messages.size());
--- a/src/dogwoodtrackd/main.cpp
+++ b/src/dogwoodtrackd/main.cpp
@@ -85,6 +85,9 @@
         "Bytes a second for copying flow records to a peer")
         ->check(CLI::Range(128, 1 << 30))
         ->capture_default_str();
+    app.add_flag("--push-documents", options.push_documents,
+                 "Send whole documents to peers, as a baseline for "
+                 "comparison");
     app.add_flag("--fault-injection", options.fault_injection,
                  "Let tests cut this instance off (POST /fault)");
     app.add_flag("--check", raw.check, "Print the settings in effect and exit");
--- a/src/include/dogwoodtrack/daemon.hpp
+++ b/src/include/dogwoodtrack/daemon.hpp
@@ -27,6 +27,7 @@
     milliseconds heartbeat{250};
     seconds stop_deadline{60};
     std::size_t sync_bytes_per_second = 2048;
+    bool push_documents = false; ///< for comparison, see DESIGN
     bool fault_injection = false;
 };
 
--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -23,6 +23,7 @@
     milliseconds settle{2500}; ///< wait before starting without records
     std::size_t neighbours = 8;
     std::size_t sync_bytes_per_second = 2048;
+    bool push_documents = false; ///< whole documents instead of versions
 };
 
 /// What is known of one other balancer.
@@ -109,6 +110,12 @@
     std::set<std::uint32_t> outdated_services; ///< synced until then
 
     std::map<std::uint32_t, peer_state> peers;
+    /// The same peers by failure domain, made anew when one was added.
+    std::map<std::uint32_t, std::vector<peer_state *>> by_domain;
+    std::size_t indexed_peers = 0;
+    std::vector<std::uint32_t> listed_here; ///< ready, in this domain
+    std::uint64_t peers_digest = 0;         ///< of all their states
+    std::uint64_t documents_digest = 0;     ///< of all documents' versions
     std::vector<endpoint> seeds;
     std::map<std::string, document> documents;
     std::vector<contract> contracts;
@@ -137,6 +144,7 @@
     std::shared_ptr<const routing_view> view;
     bool view_stale = true;
 
+    time_point next_membership_turn{};
     time_point next_heartbeat{};
     time_point next_domain_heartbeat{};
     time_point next_anti_entropy{};
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -18,6 +18,7 @@
 
 constexpr milliseconds loop_wait{20};
 constexpr milliseconds slow_tick{1000};
+constexpr milliseconds membership_turn{50};
 constexpr std::size_t messages_per_turn = 256;
 // Peers and the fabric need this long to learn that an instance leaves.
 constexpr milliseconds leave_notice{1000};
@@ -178,6 +179,19 @@
     return last;
 }
 
+auto take_membership_turn(control_context &it, time_point now,
+                          control_actions &actions) -> void {
+    auto &board = it.board;
+    if (now < board.next_membership_turn)
+        return;
+    board.next_membership_turn = now + membership_turn;
+    tick_membership(board, now, actions);
+    renew_lease(board, now, actions);
+    publish_view(it, now);
+    report_loads(board);
+    tick_copying(board, now, actions);
+}
+
 // First peers that have the records, then the announcement, then the last
 // packets; the deadline cuts it short.
 auto stop_is_done(control_context &it, time_point now, control_actions &actions)
@@ -227,11 +241,8 @@
         read_platform(it, now, actions);
         read_reports(it, actions);
         answer_questions(it);
-        tick_membership(board, now, actions);
-        renew_lease(board, now, actions);
+        take_membership_turn(it, now, actions);
         publish_view(it, now);
-        report_loads(board);
-        tick_copying(board, now, actions);
         do_slow_tick(it, now, actions);
         if (stop && it.stop_asked == time_point{}) {
             it.stop_asked = now;
--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t record_size = 13;
+constexpr double turn_seconds = 0.05;
 constexpr std::uint8_t flag_closed = 1;
 constexpr std::uint8_t flag_forwarded = 2;
 constexpr milliseconds request_timeout{5000};
@@ -185,7 +186,7 @@
     if (!board.view)
         return;
     const auto rate = static_cast<double>(board.options.sync_bytes_per_second);
-    board.sync_credit = std::min(rate, board.sync_credit + rate / 20);
+    board.sync_credit = std::min(rate, board.sync_credit + rate * turn_seconds);
     const auto view = board.view;
     for (const auto &service : view->services) {
         for (const auto &domain : service.domains) {
--- a/src/libdogwoodtrack/daemon.cpp
+++ b/src/libdogwoodtrack/daemon.cpp
@@ -26,6 +26,7 @@
     blackboard board;
     board.options.heartbeat = options.heartbeat;
     board.options.sync_bytes_per_second = options.sync_bytes_per_second;
+    board.options.push_documents = options.push_documents;
     board.self = {.id = hash_name(options.name),
                   .name = options.name,
                   .failure_domain = hash_name(options.failure_domain),
--- a/src/libdogwoodtrack/documents.cpp
+++ b/src/libdogwoodtrack/documents.cpp
@@ -141,6 +141,12 @@
     return true;
 }
 
+auto generation_of(const blackboard &board, const std::string &name)
+    -> std::uint64_t {
+    const auto it = board.documents.find(name);
+    return it == board.documents.end() ? 0 : it->second.generation;
+}
+
 auto send_document(const blackboard &board, const peer_state &peer,
                    const std::string &name, control_actions &actions) -> void {
     const auto it = board.documents.find(name);
@@ -156,34 +162,26 @@
 
 // One version goes to the neighbours and to one balancer of each other
 // domain; those that lack it pull it and offer it on.
-auto offer_document(const blackboard &board, const std::string &name,
+auto offer_document(blackboard &board, const std::string &name,
                     std::uint64_t generation, control_actions &actions)
     -> void {
     wire::Envelope message;
     auto *version = message.mutable_digest()->add_versions();
     version->set_name(name);
     version->set_generation(generation);
-    std::map<std::uint32_t, bool> told;
-    for (const auto *peer : neighbours_of(board)) {
-        if (peer->info.status != member_status::dead)
-            send_to(actions, *peer, message);
-    }
-    for (const auto &[id, peer] : board.peers) {
-        const auto domain = peer.info.failure_domain;
-        if (domain == board.self.failure_domain ||
-            peer.info.status == member_status::dead || told[domain])
+    auto told = neighbours_of(board);
+    const auto abroad = domain_contacts(board);
+    told.insert(told.end(), abroad.begin(), abroad.end());
+    for (const auto *peer : told) {
+        if (peer->info.status == member_status::dead)
             continue;
-        told[domain] = true;
-        send_to(actions, peer, message);
+        if (board.options.push_documents)
+            send_document(board, *peer, name, actions);
+        else
+            send_to(actions, *peer, message);
     }
 }
 
-auto generation_of(const blackboard &board, const std::string &name)
-    -> std::uint64_t {
-    const auto it = board.documents.find(name);
-    return it == board.documents.end() ? 0 : it->second.generation;
-}
-
 } // namespace
 
 auto accept_document(blackboard &board, const std::string &name,
@@ -196,6 +194,12 @@
                                    : apply_live_list(board, name, value, now);
     if (!taken)
         return false;
+    const auto mark = [&](std::uint64_t generation) {
+        return hash_pair(hash_name(name), generation);
+    };
+    if (const auto old = generation_of(board, name); old != 0)
+        board.documents_digest ^= mark(old);
+    board.documents_digest ^= mark(value.generation);
     board.documents[name] = value;
     if (!is_contract)
         apply_upstream_lists(board);
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+auto index_peers(blackboard &board) -> void {
+    if (board.indexed_peers == board.peers.size())
+        return;
+    board.by_domain.clear();
+    for (auto &[id, it] : board.peers)
+        board.by_domain[it.info.failure_domain].push_back(&it);
+    board.indexed_peers = board.peers.size();
+}
+
 // Loads are reported for the services an instance owns; a heartbeat names
 // at most this many, in turn.
 constexpr std::size_t loads_per_heartbeat = 16;
@@ -41,18 +50,22 @@
     return state;
 }
 
+auto member_mark(std::uint32_t id, std::uint64_t incarnation,
+                 std::uint64_t version) -> std::uint64_t {
+    return hash_pair(hash_pair(id, incarnation), version);
+}
+
+// The peers' part is kept up to date with each change of one; own changes are
+// few and added here.
 auto members_digest(const blackboard &board) -> std::uint64_t {
-    std::uint64_t digest = 0;
-    const auto add = [&](std::uint32_t id, std::uint64_t incarnation,
-                         std::uint64_t version) {
-        digest ^= hash_pair(hash_pair(id, incarnation), version);
-    };
-    add(board.self.id, board.incarnation, board.version);
-    for (const auto &[id, it] : board.peers) {
-        if (it.incarnation != 0)
-            add(id, it.incarnation, it.version);
-    }
-    return digest;
+    return board.peers_digest ^
+           member_mark(board.self.id, board.incarnation, board.version);
+}
+
+auto toggle_mark(blackboard &board, const peer_state &peer) -> void {
+    if (peer.incarnation != 0)
+        board.peers_digest ^=
+            member_mark(peer.info.id, peer.incarnation, peer.version);
 }
 
 auto add_loads(const blackboard &board, wire::Heartbeat &beat) -> void {
@@ -93,7 +106,7 @@
     }
 }
 
-auto send_state(const blackboard &board, const wire::MemberState &state,
+auto send_state(blackboard &board, const wire::MemberState &state,
                 std::uint32_t except, control_actions &actions) -> void {
     for (const auto *peer : neighbours_of(board)) {
         if (peer->info.id == except)
@@ -104,23 +117,7 @@
     }
 }
 
-// One reachable member of each other failure domain, in rotation.
-auto domain_contacts(const blackboard &board)
-    -> std::vector<const peer_state *> {
-    std::map<std::uint32_t, std::vector<const peer_state *>> by_domain;
-    for (const auto &[id, it] : board.peers) {
-        if (it.info.failure_domain != board.self.failure_domain &&
-            (it.info.status != member_status::dead || it.incarnation == 0))
-            by_domain[it.info.failure_domain].push_back(&it);
-    }
-    std::vector<const peer_state *> contacts;
-    contacts.reserve(by_domain.size());
-    for (const auto &[domain, list] : by_domain)
-        contacts.push_back(list[board.domain_rotation % list.size()]);
-    return contacts;
-}
-
-auto send_state_abroad(const blackboard &board, const wire::MemberState &state,
+auto send_state_abroad(blackboard &board, const wire::MemberState &state,
                        control_actions &actions) -> void {
     for (const auto *peer : domain_contacts(board)) {
         auto message = make_heartbeat(board);
@@ -195,7 +192,11 @@
         return;
     const auto before =
         peer.incarnation == 0 ? member_status::dead : peer.info.status;
+    toggle_mark(board, peer);
     apply_state(peer, state);
+    toggle_mark(board, peer);
+    if (before == member_status::dead)
+        board.indexed_peers = 0;
     if (from == id)
         peer.heard = now;
     else if (peer.info.status == member_status::live &&
@@ -224,7 +225,9 @@
     const auto before = peer.info.status;
     peer.info.status = member_status::dead;
     peer.silent_since = now;
+    toggle_mark(board, peer);
     ++peer.version;
+    toggle_mark(board, peer);
     record_status(board, peer, before);
     board.view_stale = true;
     const auto state = describe_peer(peer);
@@ -234,12 +237,12 @@
 
 auto judge_silence(blackboard &board, time_point now, control_actions &actions)
     -> void {
-    for (auto &[id, peer] : board.peers) {
-        if (peer.info.failure_domain != board.self.failure_domain ||
-            peer.info.status == member_status::dead || peer.incarnation == 0)
-            continue;
-        if (now - peer.heard > board.options.dead_after)
-            declare_dead(board, peer, now, actions);
+    index_peers(board);
+    for (auto *peer : board.by_domain[board.self.failure_domain]) {
+        if (peer->info.status != member_status::dead &&
+            peer->incarnation != 0 &&
+            now - peer->heard > board.options.dead_after)
+            declare_dead(board, *peer, now, actions);
     }
 }
 
@@ -289,11 +292,11 @@
             *message.mutable_heartbeat()->add_states() = describe_self(board);
         send_to(actions, *peer, message);
     }
+    if (!board.peers.empty())
+        return;
     add_all_states(board, *beat.mutable_heartbeat());
-    if (board.peers.empty()) {
-        for (const auto &it : board.seeds)
-            actions.messages.push_back({it, beat});
-    }
+    for (const auto &it : board.seeds)
+        actions.messages.push_back({it, beat});
 }
 
 auto counts_in_majority(const blackboard &board, const peer_state &peer)
@@ -308,24 +311,44 @@
     return it != board.balancers.end() && it->second.state.ready;
 }
 
+auto may_contact(const peer_state &peer) -> bool {
+    return peer.info.status != member_status::dead || peer.incarnation == 0;
+}
+
 } // namespace
 
+// One reachable member of each other failure domain, in rotation.
+auto domain_contacts(blackboard &board) -> std::vector<const peer_state *> {
+    index_peers(board);
+    std::vector<const peer_state *> contacts;
+    contacts.reserve(board.by_domain.size());
+    for (const auto &[domain, list] : board.by_domain) {
+        if (domain == board.self.failure_domain)
+            continue;
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            const auto *peer = list[(board.domain_rotation + i) % list.size()];
+            if (!may_contact(*peer))
+                continue;
+            contacts.push_back(peer);
+            break;
+        }
+    }
+    return contacts;
+}
+
 auto documents_digest(const blackboard &board) -> std::uint64_t {
-    std::uint64_t digest = 0;
-    for (const auto &[name, it] : board.documents)
-        digest ^= hash_pair(hash_name(name), it.generation);
-    return digest;
+    return board.documents_digest;
 }
 
-auto neighbours_of(const blackboard &board) -> std::vector<const peer_state *> {
-    // The map is ordered by identifier, so that the ring starts behind self.
+auto neighbours_of(blackboard &board) -> std::vector<const peer_state *> {
+    index_peers(board);
+    // The list is ordered by identifier, so that the ring starts behind self.
     std::vector<const peer_state *> ring;
     std::vector<const peer_state *> front;
-    for (const auto &[id, it] : board.peers) {
-        if (it.info.failure_domain != board.self.failure_domain ||
-            (it.info.status == member_status::dead && it.graceful))
+    for (const auto *it : board.by_domain[board.self.failure_domain]) {
+        if (it->info.status == member_status::dead && it->graceful)
             continue;
-        (id > board.self.id ? ring : front).push_back(&it);
+        (it->info.id > board.self.id ? ring : front).push_back(it);
     }
     ring.insert(ring.end(), front.begin(), front.end());
     if (ring.size() > board.options.neighbours)
@@ -416,14 +439,13 @@
     -> void {
     std::vector<std::pair<time_point, std::uint32_t>> heard{
         {now, board.self.id}};
-    for (const auto &[id, it] : board.peers) {
-        if (counts_in_majority(board, it))
-            heard.emplace_back(it.heard, id);
+    index_peers(board);
+    for (const auto *it : board.by_domain[board.self.failure_domain]) {
+        if (counts_in_majority(board, *it))
+            heard.emplace_back(it->heard, it->info.id);
     }
-    for (const auto &[name, it] : board.balancers) {
-        const auto id = hash_name(name);
-        if (it.state.ready && id != board.self.id &&
-            it.failure_domain == board.domain_name && !board.peers.contains(id))
+    for (const auto id : board.listed_here) {
+        if (!board.peers.contains(id))
             heard.emplace_back(time_point{}, id);
     }
     std::sort(heard.begin(), heard.end(), std::greater<>());
@@ -452,8 +474,12 @@
 }
 
 auto on_balancers_listed(blackboard &board, time_point now) -> void {
+    board.listed_here.clear();
     for (const auto &[name, it] : board.balancers) {
         const auto id = hash_name(name);
+        if (it.state.ready && id != board.self.id &&
+            it.failure_domain == board.domain_name)
+            board.listed_here.push_back(id);
         if (id == board.self.id || board.peers.contains(id) || !it.state.ready)
             continue;
         auto &peer = board.peers[id];
--- a/src/libdogwoodtrack/membership.hpp
+++ b/src/libdogwoodtrack/membership.hpp
@@ -41,7 +41,10 @@
 
 /// Peers that get this instance's heartbeats: the next ones on the ring of
 /// the failure domain.
-auto neighbours_of(const blackboard &board) -> std::vector<const peer_state *>;
+auto neighbours_of(blackboard &board) -> std::vector<const peer_state *>;
+
+/// One member of each other failure domain that may be up, in rotation.
+auto domain_contacts(blackboard &board) -> std::vector<const peer_state *>;
 
 /// Digest of all documents held, the same on instances that hold the same.
 auto documents_digest(const blackboard &board) -> std::uint64_t;
--- /dev/null
+++ b/testsuite/measure-fleet/run.lua
@@ -0,0 +1,29 @@
+-- Cost of control by number of balancers, packet workers idle. Set SIZE to
+-- the number a failure domain, DOMAINS to the number of domains, SERVICES to
+-- the number of services.
+local size = tonumber(os.getenv("SIZE") or "3")
+local domains = tonumber(os.getenv("DOMAINS") or "3")
+local services = tonumber(os.getenv("SERVICES") or "2")
+
+local names = {}
+for d = 1, domains do
+    names[d] = "domain-" .. d
+    for i = 1, size do
+        instance(names[d] .. "-" .. i, names[d])
+    end
+end
+for s = 1, services do
+    service{customer = "fleet", name = "s" .. s}
+    upstreams{service = "s" .. s, count = 7, domains = names}
+end
+start()
+run(5)
+measure("s1")
+run(15)
+print("members", size * domains, "services", services,
+      "control bytes/s", value("control_bytes_per_second_max"),
+      "cpu", value("control_cpu_fraction_max"),
+      "rss", value("daemon_rss_bytes_max"))
+upstream{name = "s1-1", connections = 1000}
+apply("fleet", 20)
+print("in force ms", value("contract_in_force_ms_max"))
