--- /dev/null
+++ b/src/dogwoodtrack-scenario/session_faults.cpp
@@ -0,0 +1,269 @@
+#include <atomic>
+#include <thread>
+
+#include "dogwoodtrack/platform_client.hpp"
+#include "script_values.hpp"
+
+namespace dogwoodtrack::scenario {
+
+auto session::stop_instance(const std::string &name) -> void {
+    need_instance(name);
+    fleet_->stop_member(name);
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, false, 0); });
+    later(live_lag_, [this] { fleet_->publish_balancers(); });
+    later(live_lag_ + 5, [this, name] {
+        if (!fleet_->member(name)->running->running())
+            fleet_->member(name)->listed = false;
+        fleet_->publish_balancers();
+    });
+}
+
+auto session::kill_instance(const std::string &name) -> void {
+    need_instance(name);
+    collect_events();
+    fleet_->kill_member(name);
+    seen_.erase(name);
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, false, 0); });
+    later(live_lag_ + 1, [this] { fleet_->publish_balancers(); });
+}
+
+auto session::pause_instance(const std::string &name, bool paused) -> void {
+    need_instance(name);
+    if (paused) {
+        fleet_->pause_member(name);
+        paused_.insert(name);
+        later(fabric_lag_, [this, name] {
+            fleet_->fabric_uses(name, !paused_.contains(name), 1);
+        });
+        return;
+    }
+    fleet_->resume_member(name);
+    paused_.erase(name);
+    fleet_->fabric_uses(name, true, 1);
+}
+
+auto session::join_instance(const std::string &name) -> void {
+    auto &it = need_instance(name);
+    if (it.running && it.running->running())
+        throw scenario_problem{name + " runs already"};
+    seen_.erase(name);
+    check(fleet_->start_member(name));
+    later(live_lag_, [this] { fleet_->publish_balancers(); });
+    const auto started =
+        wait_for(5, [&] { return !fleet_->ask(name, "/status").empty(); });
+    if (!started)
+        throw scenario_problem{name + " does not start"};
+    later(fabric_lag_, [this, name] { fleet_->fabric_uses(name, true, 1); });
+}
+
+auto session::has_stopped(const std::string &name) -> bool {
+    return !need_instance(name).running->running();
+}
+
+auto session::exit_code_of(const std::string &name) -> int {
+    return need_instance(name).running->exit_code();
+}
+
+auto session::add_flows(const json &terms) -> void {
+    require_known(terms, "flows",
+                  {"service", "rate", "count", "life", "gap", "answer_size",
+                   "request_size", "patience", "reuse_ports", "side"});
+    network().add_flows(
+        {.service = find_service(text(terms, "flows", "service")).index,
+         .rate = terms.value("rate", 10.0),
+         .count = terms.value("count", std::uint64_t{0}),
+         .life = to_ms(terms.value("life", 1.0)),
+         .gap = to_ms(terms.value("gap", 0.1)),
+         .answer_size = terms.value("answer_size", 800U),
+         .request_size = terms.value("request_size", 200U),
+         .patience = to_ms(terms.value("patience", 20.0)),
+         .reuse_ports = terms.value("reuse_ports", false),
+         .side = terms.value("side", "")});
+}
+
+auto session::set_store(const json &faults) -> void {
+    require_known(
+        faults, "store",
+        {"outage", "delay", "lose_answers", "stale_reads", "calls_per_second"});
+    fleet_->platform().set_faults(
+        {.outage = faults.value("outage", false),
+         .delay = to_ms(faults.value("delay", 0.0)),
+         .lose_answers = faults.value("lose_answers", 0U),
+         .stale_reads = faults.value("stale_reads", false),
+         .calls_per_second = faults.value("calls_per_second", 0U)});
+}
+
+auto session::set_fabric(const json &faults) -> void {
+    require_known(faults, "fabric",
+                  {"loss", "duplicate", "reorder", "weights"});
+    network().set_faults({.loss = faults.value("loss", 0.0),
+                          .duplicate = faults.value("duplicate", 0.0),
+                          .reorder = to_ms(faults.value("reorder", 0.0))});
+    const auto weights = faults.value("weights", json::object());
+    for (const auto &[name, weight] : weights.items()) {
+        need_instance(name);
+        fleet_->fabric_uses(name, true, weight.get<double>());
+    }
+}
+
+auto session::set_upstream(const json &change) -> void {
+    require_known(
+        change, "upstream",
+        {"name", "down", "shedding", "service_ms", "capacity", "connections"});
+    const auto [service, it] = find_upstream(text(change, "upstream", "name"));
+    it->down = change.value("down", it->down);
+    it->shedding = change.value("shedding", it->shedding);
+    it->service_time = milliseconds(
+        change.value("service_ms", static_cast<int>(it->service_time.count())));
+    for (auto &terms : service->terms["upstreams"]) {
+        if (terms["name"] != it->name)
+            continue;
+        for (const auto *field : {"capacity", "connections"}) {
+            if (change.contains(field))
+                terms[field] = change[field];
+        }
+    }
+    it->capacity = change.value("capacity", it->capacity);
+    network().set_upstream(*it);
+}
+
+auto session::leave(const json &what) -> void {
+    require_known(what, "leave", {"upstream", "via", "limit", "undo"});
+    const auto name = text(what, "leave", "upstream");
+    const auto [service, it] = find_upstream(name);
+    const auto undo = what.value("undo", false);
+    if (undo)
+        network().unmark_leaving(name);
+    else
+        network().mark_leaving(name, to_ms(what.value("limit", 3.0)));
+    if (what.value("via", "contract") == "list") {
+        service->terminating.insert(name);
+        later(live_lag_, [this, service = service] {
+            fleet_->publish_upstreams(service->name, service->upstreams,
+                                      service->terminating);
+        });
+        return;
+    }
+    for (auto &terms : service->terms["upstreams"]) {
+        if (terms["name"] == name)
+            terms["leaving"] = !undo;
+    }
+    write_contract(service->customer);
+}
+
+auto session::cut(const json &what) -> void {
+    require_known(what, "cut", {"domain", "instances", "platform"});
+    std::set<std::string> group;
+    const auto domain = what.value("domain", "");
+    for (const auto &[name, of] : domains_) {
+        if (of == domain)
+            group.insert(name);
+    }
+    for (const auto &name : what.value("instances", json::array()))
+        group.insert(need_instance(name.get<std::string>()).name);
+    if (group.empty())
+        throw scenario_problem{"cut names no instance"};
+    const auto platform = what.value("platform", false);
+    if (platform)
+        cut_off_ = group;
+    fleet_->cut(group, platform);
+}
+
+auto session::heal() -> void {
+    cut_off_.clear();
+    fleet_->heal();
+}
+
+auto session::measure(const std::string &service) -> void {
+    network().measure_imbalance(find_service(service).index);
+    network().reset_relay_counts();
+    fleet_->mark_cost();
+}
+
+auto session::in_force(const std::string &customer) -> bool {
+    for (const auto &name : reachable_names()) {
+        if (cut_off_.contains(name))
+            continue;
+        const auto contracts =
+            status_of(name).value("contracts", json::object());
+        if (contracts.value(customer, std::uint64_t{0}) < written_[customer])
+            return false;
+    }
+    return true;
+}
+
+auto session::apply(const std::string &customer, double patience) -> void {
+    write_contract(customer);
+    const auto start = now();
+    const auto done = wait_for(patience, [&] { return in_force(customer); });
+    const std::chrono::duration<double, std::milli> spent = now() - start;
+    in_force_ms_max_ = std::max(in_force_ms_max_, spent.count());
+    if (!done)
+        in_force_ms_max_ = std::max(in_force_ms_max_, patience * 1e3);
+}
+
+auto session::race(const std::string &customer) -> int {
+    const platform_client client(
+        {.address = fleet_->platform_address(), .client_name = "scenario"});
+    auto current = client.get(platform_resource::contracts, customer);
+    if (!current)
+        throw scenario_problem{current.error().message()};
+    std::atomic<int> taken{0};
+    std::atomic<std::uint64_t> generation{0};
+    const auto write = [&](const char *who) {
+        auto object = current.value();
+        object.change_id = fmt::format("{}-{}", who, object.generation);
+        object.spec_json = contract_spec(customer);
+        auto written = client.put_contract(object);
+        if (written) {
+            ++taken;
+            generation = written.value().generation;
+        }
+    };
+    std::thread first([&] { write("first"); });
+    std::thread second([&] { write("second"); });
+    first.join();
+    second.join();
+    if (generation > 0)
+        written_[customer] = generation;
+    return taken;
+}
+
+auto session::owner_of(const std::string &service, const std::string &domain)
+    -> std::string {
+    const auto &it = find_service(service);
+    for (const auto &name : reachable_names()) {
+        if (domains_[name] != domain)
+            continue;
+        const auto rows =
+            json::parse(fleet_->ask(name, "/upstreams"), nullptr, false);
+        if (!rows.is_array())
+            continue;
+        for (const auto &row : rows) {
+            if (row["service"] == it.customer + "/" + it.name &&
+                row["mine"] == true)
+                return name;
+        }
+    }
+    return "";
+}
+
+auto session::counted_at(const std::string &upstream) -> int {
+    for (const auto &name : reachable_names()) {
+        const auto rows =
+            json::parse(fleet_->ask(name, "/upstreams"), nullptr, false);
+        if (!rows.is_array())
+            continue;
+        for (const auto &row : rows) {
+            if (row["name"] == upstream && row["mine"] == true)
+                return row["open"];
+        }
+    }
+    return -1;
+}
+
+auto session::set_lag(const std::string &which, double lag) -> void {
+    (which == "live" ? live_lag_ : fabric_lag_) = lag;
+}
+
+} // namespace dogwoodtrack::scenario
--- a/src/dogwoodtrackd/main.cpp
+++ b/src/dogwoodtrackd/main.cpp
@@ -26,7 +26,7 @@
     std::vector<std::string> seeds;
     std::string placement = "owner";
     std::int64_t refresh_ms = 60'000;
-    std::int64_t heartbeat_ms = 250;
+    std::int64_t heartbeat_ms = 300;
     std::int64_t stop_deadline_s = 60;
     bool check = false;
 };
--- a/src/include/dogwoodtrack/daemon.hpp
+++ b/src/include/dogwoodtrack/daemon.hpp
@@ -24,7 +24,7 @@
     unsigned workers = 1;
     placement_mode placement = placement_mode::owner;
     milliseconds refresh_interval{60'000};
-    milliseconds heartbeat{250};
+    milliseconds heartbeat{300};
     seconds stop_deadline{60};
     std::size_t sync_bytes_per_second = 2048;
     bool push_documents = false; ///< for comparison, see DESIGN
--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -15,13 +15,13 @@
 
 /// Settings of the controllers.
 struct control_options {
-    milliseconds heartbeat{250};
-    milliseconds domain_heartbeat{500};
+    milliseconds heartbeat{300};
+    milliseconds domain_heartbeat{500}; ///< with up to two other domains
     milliseconds lease{1000};
     milliseconds dead_after{1500};
     milliseconds domain_cut_after{3000};
     milliseconds settle{2500}; ///< wait before starting without records
-    std::size_t neighbours = 8;
+    std::size_t neighbours = 4;
     std::size_t sync_bytes_per_second = 2048;
     bool push_documents = false; ///< whole documents instead of versions
 };
@@ -34,6 +34,9 @@
     std::uint64_t version = 0;
     time_point heard{}; ///< last message straight from it
     time_point silent_since{};
+    /// Its heartbeats come here since then; only then silence tells.
+    bool monitored = false;
+    time_point monitored_since{};
     bool graceful = false; ///< it said that it is leaving
 };
 
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -6,48 +6,44 @@
 
 namespace {
 
-auto index_peers(blackboard &board) -> void {
-    if (board.indexed_peers == board.peers.size())
-        return;
-    board.by_domain.clear();
-    for (auto &[id, it] : board.peers)
-        board.by_domain[it.info.failure_domain].push_back(&it);
-    board.indexed_peers = board.peers.size();
-}
-
 // Loads are reported for the services an instance owns; a heartbeat names
 // at most this many, in turn.
 constexpr std::size_t loads_per_heartbeat = 16;
-constexpr milliseconds drain_after_pause{300};
 
-auto describe_self(const blackboard &board) -> wire::MemberState {
+struct described_member {
+    const member &info;
+    const std::string &domain_name;
+    std::uint64_t incarnation;
+    std::uint64_t version;
+};
+
+auto describe(const described_member &it) -> wire::MemberState {
     wire::MemberState state;
-    state.set_name(board.self.name);
-    state.set_failure_domain(board.domain_name);
-    state.set_address(board.self.link.address);
-    state.set_link_port(board.self.link.port);
-    state.set_control_port(board.self.control.port);
-    state.set_incarnation(board.incarnation);
-    state.set_version(board.version);
-    state.set_status(static_cast<std::uint32_t>(board.self.status));
-    for (const auto it : board.self.synced)
-        state.add_synced(it);
+    state.set_name(it.info.name);
+    state.set_failure_domain(it.domain_name);
+    state.set_address(it.info.link.address);
+    state.set_link_port(it.info.link.port);
+    state.set_control_port(it.info.control.port);
+    state.set_incarnation(it.incarnation);
+    state.set_version(it.version);
+    state.set_status(static_cast<std::uint32_t>(it.info.status));
+    for (const auto service : it.info.synced)
+        state.add_synced(service);
     return state;
 }
 
+auto describe_self(const blackboard &board) -> wire::MemberState {
+    return describe({.info = board.self,
+                     .domain_name = board.domain_name,
+                     .incarnation = board.incarnation,
+                     .version = board.version});
+}
+
 auto describe_peer(const peer_state &peer) -> wire::MemberState {
-    wire::MemberState state;
-    state.set_name(peer.info.name);
-    state.set_failure_domain(peer.domain_name);
-    state.set_address(peer.info.link.address);
-    state.set_link_port(peer.info.link.port);
-    state.set_control_port(peer.info.control.port);
-    state.set_incarnation(peer.incarnation);
-    state.set_version(peer.version);
-    state.set_status(static_cast<std::uint32_t>(peer.info.status));
-    for (const auto it : peer.info.synced)
-        state.add_synced(it);
-    return state;
+    return describe({.info = peer.info,
+                     .domain_name = peer.domain_name,
+                     .incarnation = peer.incarnation,
+                     .version = peer.version});
 }
 
 auto member_mark(std::uint32_t id, std::uint64_t incarnation,
@@ -235,20 +231,59 @@
     send_state_abroad(board, state, actions);
 }
 
+// The ring order of this failure domain behind this instance, first the next
+// one. Those that left are out; those that fell silent may come back.
+auto ring_of(blackboard &board) -> std::vector<peer_state *> {
+    index_peers(board);
+    std::vector<peer_state *> ring;
+    std::vector<peer_state *> front;
+    for (auto *it : board.by_domain[board.self.failure_domain]) {
+        if (it->info.status == member_status::dead && it->graceful)
+            continue;
+        (it->info.id > board.self.id ? ring : front).push_back(it);
+    }
+    ring.insert(ring.end(), front.begin(), front.end());
+    return ring;
+}
+
+// An instance hears those of which it is a neighbour: the last of its ring.
+auto update_monitored(blackboard &board, time_point now) -> void {
+    const auto ring = ring_of(board);
+    const auto first =
+        ring.size() - std::min(ring.size(), board.options.neighbours);
+    for (std::size_t i = 0; i < ring.size(); ++i) {
+        auto &peer = *ring[i];
+        const auto monitored = i >= first;
+        if (monitored && !peer.monitored)
+            peer.monitored_since = now;
+        peer.monitored = monitored;
+    }
+}
+
 auto judge_silence(blackboard &board, time_point now, control_actions &actions)
     -> void {
-    index_peers(board);
+    update_monitored(board, now);
     for (auto *peer : board.by_domain[board.self.failure_domain]) {
-        if (peer->info.status != member_status::dead &&
-            peer->incarnation != 0 &&
-            now - peer->heard > board.options.dead_after)
+        const auto heard = std::max(peer->heard, peer->monitored_since);
+        if (peer->monitored && peer->info.status != member_status::dead &&
+            peer->incarnation != 0 && now - heard > board.options.dead_after)
             declare_dead(board, *peer, now, actions);
     }
 }
 
+// Two other domains are asked at the full rate; more share that rate, so
+// that the cost stays within the budget at any number of domains.
+auto domain_factor(const blackboard &board) -> int {
+    constexpr std::size_t at_full_rate = 2;
+    const auto others = std::max<std::size_t>(board.by_domain.size(), 1) - 1;
+    return static_cast<int>(
+        std::max<std::size_t>(1, (others + 1) / at_full_rate));
+}
+
 auto judge_domains(blackboard &board, time_point now) -> void {
     for (const auto &[domain, heard] : board.domain_heard) {
-        const auto cut = now - heard > board.options.domain_cut_after;
+        const auto cut =
+            now - heard > board.options.domain_cut_after * domain_factor(board);
         const auto was_cut = board.cut_domains.contains(domain);
         if (cut == was_cut)
             continue;
@@ -281,7 +316,8 @@
     }
     if (now < board.next_domain_heartbeat)
         return;
-    board.next_domain_heartbeat = now + board.options.domain_heartbeat;
+    board.next_domain_heartbeat =
+        now + board.options.domain_heartbeat * domain_factor(board);
     ++board.domain_rotation;
     auto beat = make_heartbeat(board);
     add_loads(board, *beat.mutable_heartbeat());
@@ -299,24 +335,21 @@
         actions.messages.push_back({it, beat});
 }
 
-auto counts_in_majority(const blackboard &board, const peer_state &peer)
-    -> bool {
-    if (peer.info.failure_domain != board.self.failure_domain || peer.graceful)
-        return false;
-    if (peer.info.status != member_status::dead)
-        return true;
-    if (!board.balancers_known)
-        return true;
-    const auto it = board.balancers.find(peer.info.name);
-    return it != board.balancers.end() && it->second.state.ready;
-}
-
 auto may_contact(const peer_state &peer) -> bool {
     return peer.info.status != member_status::dead || peer.incarnation == 0;
 }
 
 } // namespace
 
+auto index_peers(blackboard &board) -> void {
+    if (board.indexed_peers == board.peers.size())
+        return;
+    board.by_domain.clear();
+    for (auto &[id, it] : board.peers)
+        board.by_domain[it.info.failure_domain].push_back(&it);
+    board.indexed_peers = board.peers.size();
+}
+
 // One reachable member of each other failure domain, in rotation.
 auto domain_contacts(blackboard &board) -> std::vector<const peer_state *> {
     index_peers(board);
@@ -341,19 +374,9 @@
 }
 
 auto neighbours_of(blackboard &board) -> std::vector<const peer_state *> {
-    index_peers(board);
-    // The list is ordered by identifier, so that the ring starts behind self.
-    std::vector<const peer_state *> ring;
-    std::vector<const peer_state *> front;
-    for (const auto *it : board.by_domain[board.self.failure_domain]) {
-        if (it->info.status == member_status::dead && it->graceful)
-            continue;
-        (it->info.id > board.self.id ? ring : front).push_back(it);
-    }
-    ring.insert(ring.end(), front.begin(), front.end());
-    if (ring.size() > board.options.neighbours)
-        ring.resize(board.options.neighbours);
-    return ring;
+    const auto ring = ring_of(board);
+    const auto n = std::min(ring.size(), board.options.neighbours);
+    return {ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(n)};
 }
 
 auto note_heard(blackboard &board, std::uint32_t from, time_point now) -> void {
@@ -396,38 +419,6 @@
     send_to(actions, peer, reply);
 }
 
-auto distrust_records(blackboard &board, time_point since,
-                      control_actions &actions) -> void {
-    if (board.outdated_services.empty())
-        board.absent_since = since;
-    board.outdated_services.insert(board.self.synced.begin(),
-                                   board.self.synced.end());
-    board.self.synced.clear();
-    board.syncs.clear();
-    board.sync_jobs.clear();
-    ++board.version;
-    board.view_stale = true;
-    actions.requests.push_back(
-        {.what = worker_request::kind::forget, .records = {}, .service = {}});
-}
-
-auto notice_pause(blackboard &board, time_point now, control_actions &actions)
-    -> void {
-    const auto last = board.last_tick;
-    board.last_tick = now;
-    if (last == time_point{} || now - last < board.options.lease)
-        return;
-    board.deaf_until = now + drain_after_pause;
-    board.lease->valid_until.store(0);
-    distrust_records(board, last, actions);
-    // What was heard before the pause says nothing about now.
-    for (auto &[id, peer] : board.peers)
-        peer.heard = std::max(peer.heard, now - board.options.lease);
-    const auto gap = std::chrono::duration_cast<milliseconds>(now - last);
-    board.events->record(event_kind::pause_noticed, board.self.name, 0,
-                         std::to_string(gap.count()) + " ms");
-}
-
 auto tick_membership(blackboard &board, time_point now,
                      control_actions &actions) -> void {
     judge_silence(board, now, actions);
@@ -435,44 +426,6 @@
     send_heartbeats(board, now, actions);
 }
 
-auto renew_lease(blackboard &board, time_point now, control_actions &actions)
-    -> void {
-    std::vector<std::pair<time_point, std::uint32_t>> heard{
-        {now, board.self.id}};
-    index_peers(board);
-    for (const auto *it : board.by_domain[board.self.failure_domain]) {
-        if (counts_in_majority(board, *it))
-            heard.emplace_back(it->heard, it->info.id);
-    }
-    for (const auto id : board.listed_here) {
-        if (!board.peers.contains(id))
-            heard.emplace_back(time_point{}, id);
-    }
-    std::sort(heard.begin(), heard.end(), std::greater<>());
-    const auto n = heard.size();
-    auto needed = n / 2 + 1;
-    const auto lowest = std::min_element(
-        heard.begin(), heard.end(), [](const auto &left, const auto &right) {
-            return left.second < right.second;
-        });
-    if (n % 2 == 0 &&
-        lowest - heard.begin() < static_cast<std::ptrdiff_t>(n / 2))
-        needed = n / 2;
-    const auto until = heard[needed - 1].first + board.options.lease;
-    board.lease->valid_until.store(until.time_since_epoch().count(),
-                                   std::memory_order_release);
-    const auto held = now < until;
-    if (held != board.lease_was_held) {
-        board.lease_was_held = held;
-        // Others may place this domain's flows from now on.
-        if (!held)
-            distrust_records(board, now - board.options.lease, actions);
-        board.events->record(held ? event_kind::lease_held
-                                  : event_kind::lease_lost,
-                             board.self.name);
-    }
-}
-
 auto on_balancers_listed(blackboard &board, time_point now) -> void {
     board.listed_here.clear();
     for (const auto &[name, it] : board.balancers) {
--- a/src/libdogwoodtrack/membership.hpp
+++ b/src/libdogwoodtrack/membership.hpp
@@ -39,6 +39,9 @@
 auto announce_self(blackboard &board, time_point now, control_actions &actions)
     -> void;
 
+/// Brings the index of peers by failure domain up to date.
+auto index_peers(blackboard &board) -> void;
+
 /// Peers that get this instance's heartbeats: the next ones on the ring of
 /// the failure domain.
 auto neighbours_of(blackboard &board) -> std::vector<const peer_state *>;
--- a/src/libdogwoodtrack/membership_test.cpp
+++ b/src/libdogwoodtrack/membership_test.cpp
@@ -96,6 +96,7 @@
 TEST_CASE("the platform's word lets a survivor go on alone") {
     bench it(3);
     const auto now = start + seconds{10};
+    tick_membership(it.board, start, it.actions);
     tick_membership(it.board, now, it.actions);
     renew_lease(it.board, now, it.actions);
     CHECK(!it.lease.holds(now));
@@ -134,9 +135,25 @@
     CHECK(it.board.absent_since <= start + seconds{2});
 }
 
+TEST_CASE("in a large domain only monitored peers are judged") {
+    bench it(40);
+    const auto now = start + seconds{60};
+    tick_membership(it.board, now, it.actions);
+    std::size_t dead = 0;
+    std::size_t monitored = 0;
+    tick_membership(it.board, now + seconds{2}, it.actions);
+    for (const auto &[id, peer] : it.board.peers) {
+        dead += peer.info.status == member_status::dead ? 1 : 0;
+        monitored += peer.monitored ? 1 : 0;
+    }
+    CHECK(monitored == it.board.options.neighbours);
+    CHECK(dead == monitored);
+}
+
 TEST_CASE("silence makes a peer dead and its own word makes it live") {
     bench it(3);
     const auto now = start + seconds{5};
+    tick_membership(it.board, start, it.actions);
     it.hear("b2", now);
     tick_membership(it.board, now, it.actions);
     CHECK(it.board.peers[hash_name("b1")].info.status == member_status::dead);
--- a/src/libstandin/traffic.cpp
+++ b/src/libstandin/traffic.cpp
@@ -39,23 +39,31 @@
                                   it.random) < probability;
 }
 
-auto send_now(endpoints &it, const outgoing &packet) -> void {
-    const auto *balancer = choose_balancer(it, packet.side);
+auto build(packet_buffer &buf, const outgoing &packet)
+    -> std::span<std::uint8_t> {
+    return build_packet(buf, {.protocol = packet.protocol,
+                              .source = packet.source,
+                              .destination = packet.destination,
+                              .tcp_flags = packet.flags,
+                              .sequence = packet.sequence,
+                              .acknowledgement = packet.acknowledgement,
+                              .payload = packet.payload});
+}
+
+auto send_to_balancer(endpoints &it, const std::string &side,
+                      std::span<const std::uint8_t> outer) -> void {
+    const auto *balancer = choose_balancer(it, side);
     if (balancer == nullptr)
         return;
-    packet_buffer buf;
-    const auto outer =
-        build_packet(buf, {.protocol = packet.protocol,
-                           .source = packet.source,
-                           .destination = packet.destination,
-                           .tcp_flags = packet.flags,
-                           .sequence = packet.sequence,
-                           .acknowledgement = packet.acknowledgement,
-                           .payload = packet.payload});
     ++it.report.packets_sent;
     it.socket.send_copy(balancer->link, outer);
 }
 
+auto send_now(endpoints &it, const outgoing &packet) -> void {
+    packet_buffer buf;
+    send_to_balancer(it, packet.side, build(buf, packet));
+}
+
 auto take_packet(endpoints &it, std::span<std::uint8_t> outer,
                  const endpoint &from, clock_point now) -> void {
     static const mac_key no_key{};
@@ -82,11 +90,7 @@
 auto send_delayed(endpoints &it, clock_point now) -> void {
     while (!it.delayed.empty() && it.delayed.top().when <= now) {
         const auto &packet = it.delayed.top();
-        const auto *balancer = choose_balancer(it, packet.side);
-        if (balancer != nullptr) {
-            ++it.report.packets_sent;
-            it.socket.send_copy(balancer->link, packet.outer);
-        }
+        send_to_balancer(it, packet.side, packet.outer);
         it.delayed.pop();
     }
 }
@@ -108,14 +112,7 @@
     if (when == clock_point{})
         return send_now(it, packet);
     packet_buffer buf;
-    const auto outer =
-        build_packet(buf, {.protocol = packet.protocol,
-                           .source = packet.source,
-                           .destination = packet.destination,
-                           .tcp_flags = packet.flags,
-                           .sequence = packet.sequence,
-                           .acknowledgement = packet.acknowledgement,
-                           .payload = packet.payload});
+    const auto outer = build(buf, packet);
     it.delayed.push({when, {outer.begin(), outer.end()}, packet.side});
 }
 
