--- a/src/dogwoodtrack-bench/control_bench.cpp
+++ b/src/dogwoodtrack-bench/control_bench.cpp
@@ -94,7 +94,6 @@
     site.add_members(static_cast<std::size_t>(run.range(0)), 19);
     wire::Envelope message;
     message.set_from(hash_name("member-0"));
-    message.mutable_heartbeat()->set_id(message.from());
     message.mutable_heartbeat()->set_incarnation(1);
     const auto bytes = message.SerializeAsString();
     for (auto _ : run) {
--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -16,7 +16,7 @@
 /// Settings of the controllers.
 struct control_options {
     milliseconds heartbeat{300};
-    milliseconds domain_heartbeat{500}; ///< with up to two other domains
+    milliseconds domain_heartbeat{600}; ///< with up to two other domains
     milliseconds lease{1000};
     milliseconds dead_after{1500};
     milliseconds domain_cut_after{3000};
--- a/src/libdogwoodtrack/conditions.cpp
+++ b/src/libdogwoodtrack/conditions.cpp
@@ -87,7 +87,6 @@
             if (!reports_for(board, service->customer, peer_id))
                 continue;
             wire::Envelope message;
-            message.mutable_heartbeat()->set_id(board.self.id);
             message.mutable_heartbeat()->set_incarnation(board.incarnation);
             message.mutable_heartbeat()->set_version(board.version);
             message.mutable_heartbeat()->add_troubled(id);
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -53,9 +53,10 @@
 
 // The peers' part is kept up to date with each change of one; own changes are
 // few and added here.
-auto members_digest(const blackboard &board) -> std::uint64_t {
-    return board.peers_digest ^
-           member_mark(board.self.id, board.incarnation, board.version);
+auto members_digest(const blackboard &board) -> std::uint32_t {
+    return static_cast<std::uint32_t>(
+        board.peers_digest ^
+        member_mark(board.self.id, board.incarnation, board.version));
 }
 
 auto toggle_mark(blackboard &board, const peer_state &peer) -> void {
@@ -85,7 +86,6 @@
 auto make_heartbeat(const blackboard &board) -> wire::Envelope {
     wire::Envelope message;
     auto &beat = *message.mutable_heartbeat();
-    beat.set_id(board.self.id);
     beat.set_incarnation(board.incarnation);
     beat.set_version(board.version);
     beat.set_documents_digest(documents_digest(board));
@@ -369,8 +369,8 @@
     return contacts;
 }
 
-auto documents_digest(const blackboard &board) -> std::uint64_t {
-    return board.documents_digest;
+auto documents_digest(const blackboard &board) -> std::uint32_t {
+    return static_cast<std::uint32_t>(board.documents_digest);
 }
 
 auto neighbours_of(blackboard &board) -> std::vector<const peer_state *> {
--- a/src/libdogwoodtrack/membership.hpp
+++ b/src/libdogwoodtrack/membership.hpp
@@ -50,6 +50,6 @@
 auto domain_contacts(blackboard &board) -> std::vector<const peer_state *>;
 
 /// Digest of all documents held, the same on instances that hold the same.
-auto documents_digest(const blackboard &board) -> std::uint64_t;
+auto documents_digest(const blackboard &board) -> std::uint32_t;
 
 } // namespace dogwoodtrack
