control: owners report loads to each other directly; no needless answers

Cause: every member told some member of another domain about every service, and each contact across domains was answered.

--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -17,6 +17,7 @@
 struct control_options {
     milliseconds heartbeat{300};
     milliseconds domain_heartbeat{600}; ///< with up to two other domains
+    milliseconds load_report{1000};
     milliseconds lease{1000};
     milliseconds dead_after{1500};
     milliseconds domain_cut_after{3000};
@@ -150,7 +151,9 @@
     time_point next_membership_turn{};
     time_point next_heartbeat{};
     time_point next_domain_heartbeat{};
+    time_point next_load_report{};
     time_point next_anti_entropy{};
+    bool announce_due = false; ///< own state changed since it was told
     std::size_t domain_rotation = 0;
 };
 
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -9,6 +9,7 @@
 #include "copying.hpp"
 #include "documents.hpp"
 #include "health.hpp"
+#include "load_reports.hpp"
 #include "membership.hpp"
 #include "view_builder.hpp"
 
@@ -52,6 +53,8 @@
         return on_sync_request(board, message, actions);
     case wire::Envelope::kSyncBatch:
         return on_sync_batch(board, message, now, actions);
+    case wire::Envelope::kLoads:
+        return on_loads(board, message.loads());
     case wire::Envelope::BODY_NOT_SET:
         ++it.broken_messages;
     }
@@ -189,7 +192,11 @@
     renew_lease(board, now, actions);
     publish_view(it, now);
     report_loads(board);
+    send_loads(board, now, actions);
     tick_copying(board, now, actions);
+    // Many services become synced in one turn and are told together.
+    if (board.announce_due)
+        announce_self(board, now, actions);
 }
 
 // First peers that have the records, then the announcement, then the last
--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -40,13 +40,13 @@
     return order.size();
 }
 
-auto mark_synced(blackboard &board, std::uint32_t service, time_point now,
-                 control_actions &actions) -> void {
+auto mark_synced(blackboard &board, std::uint32_t service) -> void {
     board.self.synced.push_back(service);
     board.syncs.erase(service);
     board.outdated_services.erase(service);
     ++board.version;
-    announce_self(board, now, actions);
+    board.announce_due = true;
+    board.view_stale = true;
 }
 
 auto forget_records(blackboard &board, std::uint32_t id,
@@ -90,11 +90,11 @@
 // With nobody to copy from, the first in rank may start with its own
 // records once it has had time to hear of everybody.
 auto start_without_copy(blackboard &board, std::uint32_t service,
-                        time_point now, control_actions &actions) -> void {
+                        time_point now) -> void {
     const auto settled = now - board.started > board.options.settle &&
                          now > board.deaf_until + board.options.lease;
     if (settled && board.lease->holds(now) && own_rank(board, service) == 0)
-        mark_synced(board, service, now, actions);
+        mark_synced(board, service);
 }
 
 auto tick_service(blackboard &board, const service_route &service,
@@ -104,7 +104,7 @@
         board.self.status != member_status::live)
         return;
     if (domain.owner == 0)
-        return start_without_copy(board, service.id, now, actions);
+        return start_without_copy(board, service.id, now);
     if (own_rank(board, service.id) <= service.replicas)
         request_sync(board, service.id, domain.owner, now, actions);
 }
@@ -239,7 +239,7 @@
         return;
     board.events->record(event_kind::sync_done,
                          service->customer + "/" + service->name);
-    mark_synced(board, batch.service(), now, actions);
+    mark_synced(board, batch.service());
 }
 
 auto on_exported(blackboard &board, const std::vector<flow_record> &records,
--- a/src/libdogwoodtrack/health.cpp
+++ b/src/libdogwoodtrack/health.cpp
@@ -147,17 +147,6 @@
     }
 }
 
-auto count_open(const routing_view &view, const domain_route &domain)
-    -> std::uint32_t {
-    std::uint32_t open = 0;
-    for (const auto index : domain.upstreams) {
-        // Flows of a leaving upstream say nothing about the others' load.
-        const auto &upstream = view.upstreams[index];
-        open += upstream.in_service ? upstream.load->open.load() : 0;
-    }
-    return open;
-}
-
 } // namespace
 
 auto tick_health(blackboard &board, time_point now) -> void {
@@ -176,19 +165,6 @@
     }
 }
 
-auto report_loads(blackboard &board) -> void {
-    if (!board.view)
-        return;
-    for (const auto &service : board.view->services) {
-        for (const auto &domain : service.domains) {
-            if (domain.failure_domain != board.self.failure_domain)
-                continue;
-            domain.load->open.store(count_open(*board.view, domain));
-            domain.load->known.store(is_synced(board, service.id));
-        }
-    }
-}
-
 auto troubled_services(const blackboard &board) -> std::vector<std::uint32_t> {
     std::vector<std::uint32_t> troubled;
     if (!board.view)
--- a/src/libdogwoodtrack/health.hpp
+++ b/src/libdogwoodtrack/health.hpp
@@ -10,10 +10,6 @@
 /// and never when all look ill. Call about once a second.
 auto tick_health(blackboard &board, time_point now) -> void;
 
-/// Publishes how many flows are open in this failure domain, for the owners
-/// of other domains to compare with.
-auto report_loads(blackboard &board) -> void;
-
 /// Services of this instance's failure domain that have no room left,
 /// judged as their owner.
 auto troubled_services(const blackboard &board) -> std::vector<std::uint32_t>;
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-// Loads are reported for the services an instance owns; a heartbeat names
-// at most this many, in turn.
-constexpr std::size_t loads_per_heartbeat = 16;
-
 struct described_member {
     const member &info;
     const std::string &domain_name;
@@ -65,24 +61,6 @@
             member_mark(peer.info.id, peer.incarnation, peer.version);
 }
 
-auto add_loads(const blackboard &board, wire::Heartbeat &beat) -> void {
-    if (!board.view)
-        return;
-    for (const auto &service : board.view->services) {
-        for (const auto &domain : service.domains) {
-            if (domain.failure_domain != board.self.failure_domain ||
-                !domain.load->known.load())
-                continue;
-            if (beat.loads_size() == static_cast<int>(loads_per_heartbeat))
-                return;
-            auto *load = beat.add_loads();
-            load->set_service(service.id);
-            load->set_open(domain.load->open.load());
-            load->set_failure_domain(domain.failure_domain);
-        }
-    }
-}
-
 auto make_heartbeat(const blackboard &board) -> wire::Envelope {
     wire::Envelope message;
     auto &beat = *message.mutable_heartbeat();
@@ -205,17 +183,6 @@
         send_state_abroad(board, state, actions);
 }
 
-auto note_loads(blackboard &board, const wire::Heartbeat &beat) -> void {
-    for (const auto &it : beat.loads()) {
-        const auto found =
-            board.domain_loads.find({it.service(), it.failure_domain()});
-        if (found == board.domain_loads.end())
-            continue;
-        found->second->open.store(it.open());
-        found->second->known.store(true);
-    }
-}
-
 auto declare_dead(blackboard &board, peer_state &peer, time_point now,
                   control_actions &actions) -> void {
     const auto before = peer.info.status;
@@ -302,6 +269,14 @@
     }
 }
 
+auto asks_for_answers(const blackboard &board, const peer_state &peer) -> bool {
+    const auto size = [&](std::uint32_t domain) {
+        const auto it = board.by_domain.find(domain);
+        return it == board.by_domain.end() ? 0 : it->second.size();
+    };
+    return size(board.self.failure_domain) + 1 < size(peer.info.failure_domain);
+}
+
 auto send_heartbeats(blackboard &board, time_point now,
                      control_actions &actions) -> void {
     if (now >= board.next_heartbeat) {
@@ -320,10 +295,11 @@
         now + board.options.domain_heartbeat * domain_factor(board);
     ++board.domain_rotation;
     auto beat = make_heartbeat(board);
-    add_loads(board, *beat.mutable_heartbeat());
-    beat.mutable_heartbeat()->set_want_state(true);
     for (const auto *peer : domain_contacts(board)) {
         auto message = beat;
+        // A larger domain hears from this one too rarely to stay silent.
+        message.mutable_heartbeat()->set_want_state(
+            peer->incarnation == 0 || asks_for_answers(board, *peer));
         if (peer->incarnation == 0)
             *message.mutable_heartbeat()->add_states() = describe_self(board);
         send_to(actions, *peer, message);
@@ -353,13 +329,19 @@
 // One reachable member of each other failure domain, in rotation.
 auto domain_contacts(blackboard &board) -> std::vector<const peer_state *> {
     index_peers(board);
+    // Each member starts elsewhere, so that one round of all members reaches
+    // every member of the other domain.
+    std::size_t own_rank = 0;
+    for (const auto *it : board.by_domain[board.self.failure_domain])
+        own_rank += it->info.id < board.self.id ? 1 : 0;
     std::vector<const peer_state *> contacts;
     contacts.reserve(board.by_domain.size());
     for (const auto &[domain, list] : board.by_domain) {
         if (domain == board.self.failure_domain)
             continue;
         for (std::size_t i = 0; i < list.size(); ++i) {
-            const auto *peer = list[(board.domain_rotation + i) % list.size()];
+            const auto at = board.domain_rotation + own_rank + i;
+            const auto *peer = list[at % list.size()];
             if (!may_contact(*peer))
                 continue;
             contacts.push_back(peer);
@@ -393,7 +375,6 @@
     const auto from = message.from();
     for (const auto &it : beat.states())
         merge_state(board, it, from, now, actions);
-    note_loads(board, beat);
     const auto it = board.peers.find(from);
     if (it == board.peers.end() || it->second.incarnation == 0)
         return;
@@ -450,6 +431,7 @@
 auto announce_self(blackboard &board, time_point now, control_actions &actions)
     -> void {
     board.view_stale = true;
+    board.announce_due = false;
     board.next_heartbeat = now + board.options.heartbeat;
     const auto state = describe_self(board);
     send_state(board, state, 0, actions);
