copying: one export at a time, in whole passes over the table

Cause, seen in a time line: copying to a newcomer took over 13 s with empty tables, since each step looked at 4,096 slots, and two exports under way could have had their answers exchanged, with records of one service taken for another's. Before: sync_done 4 to 12 s after the request; no exchange was seen, the test shows that it was possible. After: one export under way; a step looks at 65,536 slots or stops at a batch of records.

--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -109,26 +109,28 @@
         request_sync(board, service.id, domain.owner, now, actions);
 }
 
+// One export is under way at a time: its answer names no job, so that the
+// records of two services could be taken for each other's.
 auto pay_out(blackboard &board, control_actions &actions) -> void {
-    for (auto &job : board.sync_jobs) {
-        if (board.sync_credit <= 0)
-            return;
-        if (job.waiting)
-            continue;
-        const auto *service = service_by_id(board, job.service);
-        if (service == nullptr)
-            continue;
-        job.waiting = true;
-        actions.requests.push_back(
-            {.what = worker_request::kind::export_records,
-             .worker = job.worker,
-             .records = {},
-             .service = service->address,
-             .protocol = service->protocol,
-             .age = job.age,
-             .cursor = job.cursor});
+    const auto under_way =
+        std::any_of(board.sync_jobs.begin(), board.sync_jobs.end(),
+                    [](const sync_job &it) { return it.waiting; });
+    if (under_way || board.sync_jobs.empty() || board.sync_credit <= 0)
+        return;
+    auto &job = board.sync_jobs.front();
+    const auto *service = service_by_id(board, job.service);
+    if (service == nullptr) {
+        board.sync_jobs.erase(board.sync_jobs.begin());
         return;
     }
+    job.waiting = true;
+    actions.requests.push_back({.what = worker_request::kind::export_records,
+                                .worker = job.worker,
+                                .records = {},
+                                .service = service->address,
+                                .protocol = service->protocol,
+                                .age = job.age,
+                                .cursor = job.cursor});
 }
 
 auto send_batch(blackboard &board, const sync_job &job,
--- a/src/libdogwoodtrack/flow_records.cpp
+++ b/src/libdogwoodtrack/flow_records.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds forwarded_idle{75'000};
 // Longest time a copy may have waited between its two ends.
 constexpr milliseconds copy_delay{5000};
+constexpr std::size_t export_batch = 100;
+constexpr std::size_t export_step = 64;
 constexpr std::uint8_t fin_caller = 1;
 constexpr std::uint8_t fin_upstream = 2;
 constexpr std::uint8_t fin_both = fin_caller | fin_upstream;
@@ -191,20 +193,24 @@
                     std::size_t slots, time_point now,
                     std::vector<flow_record> &out) -> std::size_t {
     const auto since = state.tick(now) - std::min(state.tick(now), ticks(age));
-    const auto next =
-        state.flows.visit_from(cursor, slots, [&](const flow_entry &entry) {
-            if (entry.role != flow_role::authoritative ||
-                entry.key.service != service || entry.key.protocol != protocol)
-                return;
-            const auto closed = entry.phase == flow_phase::closed;
-            if (entry.opened < since && !(closed && entry.last_seen >= since))
-                return;
-            out.push_back({.key = entry.key,
-                           .upstream = entry.upstream,
-                           .closed = closed,
-                           .forwarded = entry.forwarded_domain() != 0});
-        });
-    return next >= state.flows.slots() ? 0 : next;
+    const auto end = std::min(state.flows.slots(), cursor + slots);
+    const auto visit = [&](const flow_entry &entry) {
+        if (entry.role != flow_role::authoritative ||
+            entry.key.service != service || entry.key.protocol != protocol)
+            return;
+        const auto closed = entry.phase == flow_phase::closed;
+        if (entry.opened < since && !(closed && entry.last_seen >= since))
+            return;
+        out.push_back({.key = entry.key,
+                       .upstream = entry.upstream,
+                       .closed = closed,
+                       .forwarded = entry.forwarded_domain() != 0});
+    };
+    // A message holds one batch, however full this part of the table is.
+    while (cursor < end && out.size() < export_batch)
+        cursor = state.flows.visit_from(
+            cursor, std::min(export_step, end - cursor), visit);
+    return cursor >= state.flows.slots() ? 0 : cursor;
 }
 
 auto forget_unconfirmed(packet_state &state) -> void {
--- a/src/libdogwoodtrack/membership_test.cpp
+++ b/src/libdogwoodtrack/membership_test.cpp
@@ -190,6 +190,27 @@
     CHECK(it.board.contracts.size() == 1);
 }
 
+TEST_CASE("only one export is under way, so that records keep their service") {
+    bench it(2);
+    it.board.contracts.push_back(
+        parse_contract("brunner", 1, contract_spec("443")).value());
+    rebuild_view(it.board, start);
+    const auto service = it.board.view->services[0].id;
+    it.board.self.synced = {service};
+    for (const std::uint32_t peer : {1U, 2U})
+        it.board.sync_jobs.push_back({.peer = peer, .service = service});
+    for (int i = 0; i < 3; ++i)
+        tick_copying(it.board, start, it.actions);
+    CHECK(it.actions.requests.size() == 1);
+    on_exported(it.board, {}, 7, 1, it.actions);
+    CHECK(it.board.sync_jobs.size() == 2);
+    CHECK(it.board.sync_jobs[0].cursor == 7);
+    tick_copying(it.board, start, it.actions);
+    CHECK(it.actions.requests.size() == 2);
+    on_exported(it.board, {}, 0, 1, it.actions);
+    CHECK(it.board.sync_jobs.size() == 1);
+}
+
 TEST_CASE("records survive packing and odd sizes are refused") {
     const endpoint service{.address = 1, .port = 443};
     const std::vector<flow_record> records{
--- a/src/libdogwoodtrack/worker.cpp
+++ b/src/libdogwoodtrack/worker.cpp
@@ -9,7 +9,7 @@
 constexpr milliseconds idle_wait{5};
 constexpr milliseconds shared_wait{1};
 constexpr std::size_t sweep_slots = 512;
-constexpr std::size_t export_slots = 4096;
+constexpr std::size_t export_slots = 65'536;
 constexpr milliseconds sweep_interval{5};
 
 struct worker_context {
