copying: services that became complete are announced together

A service is taken up only when it is announced: an instance that owns unannounced would fence the owner that the others know.

--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -18,6 +18,7 @@
     milliseconds heartbeat{300};
     milliseconds domain_heartbeat{600}; ///< with up to two other domains
     milliseconds load_report{1000};
+    milliseconds adoption{3000}; ///< between announcements of new services
     milliseconds lease{1000};
     milliseconds dead_after{1500};
     milliseconds domain_cut_after{3000};
@@ -153,7 +154,9 @@
     time_point next_domain_heartbeat{};
     time_point next_load_report{};
     time_point next_anti_entropy{};
-    bool announce_due = false; ///< own state changed since it was told
+    /// Services whose records are complete but that are not announced yet.
+    std::vector<std::uint32_t> newly_synced;
+    time_point next_adoption{};
     std::size_t domain_rotation = 0;
 };
 
--- a/src/libdogwoodtrack/control_loop.cpp
+++ b/src/libdogwoodtrack/control_loop.cpp
@@ -194,9 +194,7 @@
     report_loads(board);
     send_loads(board, now, actions);
     tick_copying(board, now, actions);
-    // Many services become synced in one turn and are told together.
-    if (board.announce_due)
-        announce_self(board, now, actions);
+    adopt_synced(board, now, actions);
 }
 
 // First peers that have the records, then the announcement, then the last
--- a/src/libdogwoodtrack/copying.cpp
+++ b/src/libdogwoodtrack/copying.cpp
@@ -41,12 +41,9 @@
 }
 
 auto mark_synced(blackboard &board, std::uint32_t service) -> void {
-    board.self.synced.push_back(service);
+    board.newly_synced.push_back(service);
     board.syncs.erase(service);
     board.outdated_services.erase(service);
-    ++board.version;
-    board.announce_due = true;
-    board.view_stale = true;
 }
 
 auto forget_records(blackboard &board, std::uint32_t id,
@@ -290,6 +287,19 @@
     }
 }
 
+auto adopt_synced(blackboard &board, time_point now, control_actions &actions)
+    -> void {
+    if (board.newly_synced.empty() || now < board.next_adoption)
+        return;
+    board.next_adoption = now + board.options.adoption;
+    board.self.synced.insert(board.self.synced.end(),
+                             board.newly_synced.begin(),
+                             board.newly_synced.end());
+    board.newly_synced.clear();
+    ++board.version;
+    announce_self(board, now, actions);
+}
+
 auto may_leave(const blackboard &board) -> bool {
     if (!board.view)
         return true;
--- a/src/libdogwoodtrack/copying.hpp
+++ b/src/libdogwoodtrack/copying.hpp
@@ -27,6 +27,11 @@
 auto announce_expired(blackboard &board, const std::vector<expired_flow> &flows,
                       control_actions &actions) -> void;
 
+/// Takes up the services whose records have become complete and tells the
+/// peers, several together: a peer that does not know yet would be fenced.
+auto adopt_synced(blackboard &board, time_point now, control_actions &actions)
+    -> void;
+
 /// Whether every service this instance owns has another synced balancer,
 /// so that it can leave without losing records.
 auto may_leave(const blackboard &board) -> bool;
--- a/src/libdogwoodtrack/lease.cpp
+++ b/src/libdogwoodtrack/lease.cpp
@@ -29,6 +29,7 @@
     board.outdated_services.insert(board.self.synced.begin(),
                                    board.self.synced.end());
     board.self.synced.clear();
+    board.newly_synced.clear();
     board.syncs.clear();
     board.sync_jobs.clear();
     ++board.version;
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -171,10 +171,10 @@
     toggle_mark(board, peer);
     if (before == member_status::dead)
         board.indexed_peers = 0;
-    if (from == id)
-        peer.heard = now;
-    else if (peer.info.status == member_status::live &&
-             before == member_status::dead)
+    // A peer that others call live again gets time to be heard.
+    const auto revived = peer.info.status == member_status::live &&
+                         before == member_status::dead;
+    if (from == id || revived)
         peer.heard = now;
     record_status(board, peer, before);
     board.view_stale = true;
@@ -431,7 +431,6 @@
 auto announce_self(blackboard &board, time_point now, control_actions &actions)
     -> void {
     board.view_stale = true;
-    board.announce_due = false;
     board.next_heartbeat = now + board.options.heartbeat;
     const auto state = describe_self(board);
     send_state(board, state, 0, actions);
--- a/src/libdogwoodtrack/view_builder.cpp
+++ b/src/libdogwoodtrack/view_builder.cpp
@@ -164,8 +164,10 @@
 }
 
 auto is_synced(const blackboard &board, std::uint32_t service) -> bool {
-    const auto &list = board.self.synced;
-    return std::find(list.begin(), list.end(), service) != list.end();
+    const auto holds = [&](const std::vector<std::uint32_t> &list) {
+        return std::find(list.begin(), list.end(), service) != list.end();
+    };
+    return holds(board.self.synced) || holds(board.newly_synced);
 }
 
 auto rebuild_view(blackboard &board, time_point now) -> void {
--- a/testsuite/measure-fleet/run.lua
+++ b/testsuite/measure-fleet/run.lua
@@ -17,7 +17,7 @@
     upstreams{service = "s" .. s, count = 7, domains = names}
 end
 start()
-run(5)
+run(tonumber(os.getenv("SETTLE") or "5"))
 measure("s1")
 run(15)
 print("members", size * domains, "services", services,
