--- a/src/libdogwoodtrack/blackboard.hpp
+++ b/src/libdogwoodtrack/blackboard.hpp
@@ -141,7 +141,8 @@
     std::map<std::uint32_t, time_point> domain_heard;
     std::set<std::uint32_t> cut_domains;
     std::map<std::string, condition_state> conditions;
-    std::map<std::uint32_t, time_point> troubled; ///< services, by peers
+    /// When a domain's owner last said that a service has no room there.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, time_point> troubled;
 
     placement_lease *lease = nullptr;
     bool lease_was_held = false;
--- a/src/libdogwoodtrack/conditions.cpp
+++ b/src/libdogwoodtrack/conditions.cpp
@@ -11,30 +11,27 @@
 constexpr milliseconds set_after{5000};
 constexpr milliseconds clear_after{10'000};
 // A peer repeats its report this often at least.
-constexpr milliseconds report_life{1500};
+constexpr milliseconds report_life{2500};
 
-// Broken means that no domain has room, since a full one passes its flows
-// on to the next.
+// Broken means that no reachable domain has room, since a full one passes
+// its flows on to the next.
 auto is_broken(const blackboard &board, const service_route &service,
                const std::vector<std::uint32_t> &own, time_point now) -> bool {
-    const auto here = std::count(own.begin(), own.end(), service.id) > 0;
-    const auto it = board.troubled.find(service.id);
-    const auto elsewhere =
-        it != board.troubled.end() && now - it->second < report_life;
-    if (!here && !elsewhere)
-        return false;
-    std::uint64_t open = 0;
-    std::uint64_t room = 0;
+    auto broken = false;
     for (const auto &domain : service.domains) {
-        if (domain.reachable)
-            open += domain.load->open.load();
-        for (const auto index : domain.upstreams) {
-            const auto &upstream = board.view->upstreams[index];
-            if (domain.reachable && upstream.in_service)
-                room += upstream.limit;
-        }
+        if (!domain.reachable)
+            continue;
+        const auto it =
+            board.troubled.find({service.id, domain.failure_domain});
+        const auto said =
+            it != board.troubled.end() && now - it->second < report_life;
+        const auto here = domain.owner == board.self.id &&
+                          std::count(own.begin(), own.end(), service.id) > 0;
+        if (!said && !here)
+            return false;
+        broken = true;
     }
-    return open >= room;
+    return broken;
 }
 
 auto judge(condition_state &state, bool broken, time_point now)
--- a/src/libdogwoodtrack/membership.cpp
+++ b/src/libdogwoodtrack/membership.cpp
@@ -381,7 +381,7 @@
     auto &peer = it->second;
     note_heard(board, from, now);
     for (const auto service : beat.troubled())
-        board.troubled[service] = now;
+        board.troubled[{service, peer.info.failure_domain}] = now;
     // It was taken for dead, or this instance lacks its latest state.
     const auto outdated = beat.incarnation() != peer.incarnation ||
                           beat.version() > peer.version ||
