contract: one function lists the contracts for the tool

Cause: opening the platform and listing stood in contract get as its own copy. Behaviour is the same: contract get of an unreachable platform still names the error and its remedy.

--- a/src/dogwoodtrack/contract_commands.cpp
+++ b/src/dogwoodtrack/contract_commands.cpp
@@ -25,6 +25,11 @@
     return platform_client({.address = address, .client_name = "dogwoodtrack"});
 }
 
+auto list_contracts(const tool_settings &settings) -> result<platform_list> {
+    BOOST_OUTCOME_TRY(auto client, open_platform(settings));
+    return client.list(platform_resource::contracts);
+}
+
 auto read_file(const std::string &path) -> result<std::string> {
     std::ifstream in(path);
     if (!in)
@@ -206,10 +211,7 @@
 
 auto contract_get(const tool_settings &settings, const std::string &customer)
     -> tool_exit {
-    auto client = open_platform(settings);
-    if (!client)
-        return fail(client.error());
-    auto all = client.value().list(platform_resource::contracts);
+    auto all = list_contracts(settings);
     if (!all)
         return fail(all.error());
     if (customer.empty()) {
