--- a/src/include/dogwoodtrack/types.hpp
+++ b/src/include/dogwoodtrack/types.hpp
@@ -54,6 +54,10 @@
 /// 32-bit identifier of a name, the same on every instance. Thread safe.
 auto hash_name(std::string_view name) -> std::uint32_t;
 
+/// 64-bit identifier of a name, for sets in which two equal identifiers
+/// would do harm. The same on every instance. Thread safe.
+auto hash_label(std::string_view name) -> std::uint64_t;
+
 /// Mixes two hashes. Thread safe.
 auto hash_pair(std::uint64_t first, std::uint64_t second) -> std::uint64_t;
 
--- /dev/null
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -0,0 +1,464 @@
+#include "balancer.hpp"
+
+#include <deque>
+#include <unordered_map>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fmt/format.h>
+
+#include "dogwoodtrack/event_log.hpp"
+#include "spread.hpp"
+#include "watch_duty.hpp"
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+/// Packets taken before other work is looked at.
+constexpr int packet_batch = 64;
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds held_retry{15};
+/// A held packet is older than any copy of it then.
+constexpr milliseconds held_longest{1'300};
+constexpr std::size_t held_max = 512;
+constexpr std::size_t sweep_share = 256;
+/// A configuration confirmed within this time counts as current.
+constexpr milliseconds current_for{3'000};
+/// Planned stop: nobody sends packets any more after this much silence.
+constexpr milliseconds stop_silence{700};
+/// The fabric needs this long to notice that this balancer leaves.
+constexpr milliseconds leave_notice{1'300};
+constexpr int receive_buffer = 1 << 19;
+
+struct held_packet {
+    time_point since;
+    std::vector<std::uint8_t> bytes;
+};
+
+struct pending_opening {
+    time_point due;
+    flow_ends ends;
+    std::array<std::uint8_t, 64> bytes;
+    std::size_t size;
+};
+
+struct context {
+    const balancer_options &options;
+    const packet_format &format;
+    store_port &store;
+    event_loop &loop;
+    board state;
+    int link = -1;
+    int peers = -1;
+    std::deque<held_packet> held;
+    std::deque<pending_opening> openings;
+    time_point next_tick{};
+    time_point next_digest{};
+    time_point next_held{};
+    time_point last_packet{};
+    time_point stop_asked{};
+    bool served = false;
+};
+
+auto socket_address(const endpoint &it) -> sockaddr_in {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(it.port);
+    address.sin_addr.s_addr = htonl(it.address);
+    return address;
+}
+
+auto open_datagram_socket(const endpoint &local) -> result<int> {
+    const auto fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+    const auto address = socket_address(local);
+    const auto *any = reinterpret_cast<const sockaddr *>(&address);
+    if (fd < 0 || bind(fd, any, sizeof address) < 0)
+        return error{error_kind::socket_failed,
+                     fmt::format("{}: {}", to_string(local),
+                                 std::strerror(errno))};
+    // A smaller buffer than asked for serves, too.
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof receive_buffer);
+    return fd;
+}
+
+// A datagram that the kernel refuses is lost like one on the way.
+auto send_datagram(int fd, const endpoint &to, const void *data,
+                   std::size_t size) -> void {
+    const auto address = socket_address(to);
+    sendto(fd, data, size, 0, reinterpret_cast<const sockaddr *>(&address),
+           sizeof address);
+}
+
+// ---- packets
+
+auto forward(context &it, std::span<std::uint8_t> packet, const verdict &to,
+             bool opens) -> void {
+    const auto &upstream = it.state.steering.upstreams.all[to.to];
+    if (opens)
+        it.format.write_binding(packet, to.code);
+    std::span<std::uint8_t> space(packet.data() - delivery_room,
+                                  delivery_room);
+    const auto size =
+        it.format.write_delivery(space, upstream.record.delivery_id);
+    send_datagram(it.link, upstream.record.address, packet.data() - size,
+                  packet.size() + size);
+    ++it.state.counters.forwarded;
+}
+
+auto reject(context &it, std::span<const std::uint8_t> packet,
+            const packet_head &head) -> void {
+    std::array<std::uint8_t, 64> buf{};
+    const auto size = it.format.make_rejection(packet, buf);
+    send_datagram(it.link,
+                  {.address = head.ends.caller.address,
+                   .port = it.options.link.port},
+                  buf.data(), size);
+}
+
+auto note_refusal(context &it, const packet_head &head, const verdict &what)
+    -> void {
+    ++it.state.counters.refused[static_cast<std::size_t>(what.why)];
+    log_event(severity::debug, "packet_refused",
+              {{"why", std::string(to_string(what.why))},
+               {"caller", to_string(head.ends.caller)},
+               {"service", to_string(head.ends.service)},
+               {"rejected", what.kind == verdict_kind::reject},
+               {"opens", head.opens}});
+}
+
+auto remember_opening(context &it, const packet_head &head,
+                      std::span<const std::uint8_t> packet, time_point now)
+    -> void {
+    pending_opening pending{.due = now + answer_wait,
+                            .ends = head.ends,
+                            .bytes = {},
+                            .size = packet.size()};
+    if (head.copy > 0 || packet.size() > pending.bytes.size())
+        return;
+    std::memcpy(pending.bytes.data(), packet.data(), packet.size());
+    it.openings.push_back(pending);
+}
+
+// Returns false if the packet has to wait.
+auto take_packet(context &it, std::span<std::uint8_t> packet, time_point now)
+    -> bool {
+    const auto head = it.format.read(packet);
+    if (!head) {
+        ++it.state.counters.malformed;
+        return true;
+    }
+    const auto what = steer(it.state.steering, *head, now);
+    switch (what.kind) {
+    case verdict_kind::forward:
+        if (head->opens)
+            remember_opening(it, *head, packet, now);
+        forward(it, packet, what, head->opens);
+        return true;
+    case verdict_kind::reject:
+        reject(it, packet, *head);
+        note_refusal(it, *head, what);
+        return true;
+    case verdict_kind::hold:
+        return false;
+    case verdict_kind::drop:
+        note_refusal(it, *head, what);
+    }
+    return true;
+}
+
+auto hold(context &it, std::span<const std::uint8_t> packet, time_point now)
+    -> void {
+    ++it.state.counters.held;
+    if (it.held.size() >= held_max)
+        it.held.pop_front();
+    it.held.push_back({now, {packet.begin(), packet.end()}});
+}
+
+auto on_link(context &it) -> void {
+    std::array<std::uint8_t, delivery_room + packet_limit> buf;
+    const auto now = monotonic::now();
+    for (int i = 0; i < packet_batch; ++i) {
+        const auto size =
+            recv(it.link, buf.data() + delivery_room, packet_limit, 0);
+        if (size <= 0)
+            return;
+        it.last_packet = now;
+        std::span<std::uint8_t> packet(buf.data() + delivery_room,
+                                       static_cast<std::size_t>(size));
+        if (!take_packet(it, packet, now))
+            hold(it, packet, now);
+    }
+}
+
+auto retry_held(context &it, time_point now) -> void {
+    if (it.held.empty() || now < it.next_held)
+        return;
+    it.next_held = now + held_retry;
+    auto waiting = std::move(it.held);
+    it.held.clear();
+    std::array<std::uint8_t, delivery_room + packet_limit> buf;
+    for (auto &one : waiting) {
+        if (now - one.since >= held_longest)
+            continue;
+        std::span<std::uint8_t> packet(buf.data() + delivery_room,
+                                       one.bytes.size());
+        std::memcpy(packet.data(), one.bytes.data(), one.bytes.size());
+        if (!take_packet(it, packet, now))
+            it.held.push_back(std::move(one));
+    }
+}
+
+// Opening packets that got no answer go to a second upstream before the
+// caller's own copy would.
+auto try_again(context &it, time_point now) -> void {
+    std::array<std::uint8_t, delivery_room + 64> buf;
+    while (!it.openings.empty() && it.openings.front().due <= now) {
+        const auto pending = it.openings.front();
+        it.openings.pop_front();
+        const auto what = steer_again(it.state.steering, pending.ends, now);
+        if (what.kind != verdict_kind::forward)
+            continue;
+        std::span<std::uint8_t> packet(buf.data() + delivery_room,
+                                       pending.size);
+        std::memcpy(packet.data(), pending.bytes.data(), pending.size);
+        forward(it, packet, what, true);
+        ++it.state.counters.tried_again;
+        log_event(severity::debug, "opening_tried_again",
+                  {{"caller", to_string(pending.ends.caller)},
+                   {"service", to_string(pending.ends.service)},
+                   {"upstream", it.state.steering.upstreams.all[what.to]
+                                    .record.id}});
+    }
+}
+
+// ---- peers
+
+auto send_all(context &it, const std::vector<outgoing> &messages) -> void {
+    for (const auto &one : messages) {
+        const auto buf = encode(one.message);
+        send_datagram(it.peers, {.address = one.to, .port = it.options.peers.port},
+                      buf.data(), buf.size());
+    }
+}
+
+auto on_peers(context &it) -> void {
+    std::array<char, packet_limit> buf;
+    std::vector<outgoing> out;
+    for (int i = 0; i < packet_batch; ++i) {
+        sockaddr_in from{};
+        socklen_t length = sizeof from;
+        const auto size =
+            recvfrom(it.peers, buf.data(), buf.size(), 0,
+                     reinterpret_cast<sockaddr *>(&from), &length);
+        if (size <= 0)
+            break;
+        const auto message = decode_peer_message(
+            {buf.data(), static_cast<std::size_t>(size)});
+        if (!message) {
+            ++it.state.counters.malformed;
+            continue;
+        }
+        on_peer_message(it.state, ntohl(from.sin_addr.s_addr), *message,
+                        monotonic::now(), out);
+    }
+    send_all(it, out);
+}
+
+// ---- the store
+
+auto log_store_answer(const context &it, const store_answer &answer,
+                      bool was_away) -> void {
+    const auto what = answer.what == feed::configuration ? "configuration"
+                                                         : "upstreams";
+    if (it.state.store_away)
+        log_event(was_away ? severity::debug : severity::warning,
+                  "store_unreachable",
+                  {{"feed", std::string(what)},
+                   {"outcome", std::string(to_string(answer.outcome))},
+                   {"detail", answer.detail}});
+    else if (was_away)
+        log_event(severity::info, "store_back",
+                  {{"feed", std::string(what)}, {"as_of", answer.as_of}});
+    log_event(severity::debug, "store_answer",
+              {{"feed", std::string(what)},
+               {"outcome", std::string(to_string(answer.outcome))},
+               {"as_of", answer.as_of},
+               {"records", std::uint64_t{answer.records.size()}}});
+}
+
+auto take_store_answers(context &it, time_point now) -> void {
+    std::vector<outgoing> out;
+    for (const auto &answer : it.store.take(now)) {
+        const auto was_away = it.state.store_away;
+        on_store_answer(it.state, answer, now, out);
+        plan_next_call(it.state, answer, now);
+        log_store_answer(it, answer, was_away);
+    }
+    send_all(it, out);
+}
+
+auto start_store_calls(context &it, time_point now) -> void {
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        if (const auto call =
+                next_call(it.state, static_cast<feed>(i), now))
+            it.store.start(*call, now);
+    }
+}
+
+// ---- time
+
+auto update_position(context &it, time_point now) -> void {
+    const auto own = rank_in_domain(it.state.members, now);
+    auto &position = it.state.steering.position;
+    position.rank = own.rank;
+    position.count = own.count;
+}
+
+auto log_first_service(context &it, time_point now) -> void {
+    if (it.served || !can_serve(it.state))
+        return;
+    it.served = true;
+    const auto took =
+        std::chrono::duration_cast<milliseconds>(now - it.state.started);
+    log_event(severity::info, "can_serve",
+              {{"after_ms", std::int64_t{took.count()}},
+               {"routes",
+                std::uint64_t{it.state.steering.in_force->routes.size()}},
+               {"upstreams",
+                std::uint64_t{it.state.steering.upstreams.by_id.size()}},
+               {"held", std::uint64_t{it.held.size()}}});
+}
+
+auto tick(context &it, time_point now) -> void {
+    if (now < it.next_tick)
+        return;
+    it.next_tick = now + tick_interval;
+    auto &steering = it.state.steering;
+    const auto &version = version_of(it.state, feed::configuration);
+    steering.configuration_current =
+        version.complete && now - version.confirmed < current_for;
+    update_position(it, now);
+    expire_upstreams(steering.upstreams,
+                     it.options.flow_lifetime + seconds{5}, now);
+    sweep_flows(steering.flows, steering.upstreams, sweep_share, now);
+}
+
+auto send_due_digests(context &it, time_point now) -> void {
+    if (now < it.next_digest)
+        return;
+    // A balancer without state asks more often.
+    it.next_digest =
+        now + (can_serve(it.state) ? digest_interval : digest_interval / 3);
+    std::vector<outgoing> out;
+    send_digests(it.state, now, out);
+    send_all(it, out);
+}
+
+auto next_wake(const context &it, time_point now) -> time_point {
+    auto next = std::min({it.next_tick, it.next_digest,
+                          it.store.next_deadline()});
+    if (!it.openings.empty())
+        next = std::min(next, it.openings.front().due);
+    if (!it.held.empty())
+        next = std::min(next, it.next_held);
+    for (const auto &call : it.state.calls) {
+        if (!call.under_way && call.not_before > now)
+            next = std::min(next, call.not_before);
+    }
+    return next;
+}
+
+// Whether a planned stop is done: the fabric sends nothing here any more.
+auto may_stop(context &it, time_point now) -> bool {
+    if (it.stop_asked == time_point{}) {
+        it.stop_asked = now;
+        it.state.leaving = true;
+        it.state.members.self.leaving = true;
+        it.next_digest = now;
+        log_event(severity::info, "stopping",
+                  {{"flows", std::uint64_t{
+                                 it.state.steering.flows.all.size()}}});
+    }
+    const auto waited = now - it.stop_asked;
+    if (waited >= it.options.stop_deadline)
+        return true;
+    return waited >= leave_notice && now - it.last_packet >= stop_silence;
+}
+
+auto make_board(const balancer_options &options, time_point now) -> board {
+    board it;
+    const auto domain = hash_name(options.failure_domain);
+    it.started = now;
+    it.first_start = options.first_start;
+    it.steering.position.failure_domain = domain;
+    it.steering.flows.limit = options.flow_capacity;
+    it.members.self = {.address = options.peers.address,
+                       .failure_domain = domain,
+                       .capacity = static_cast<std::uint16_t>(
+                           std::clamp(options.cores * 1000, 1.0, 60'000.0)),
+                       .heard = now};
+    it.members.port = options.peers.port;
+    for (const auto &seed : options.seeds)
+        it.members.seeds.push_back(seed.address);
+    it.members.random.seed(options.peers.address);
+    return it;
+}
+
+auto serve(context &it, const std::atomic<bool> &stop,
+           std::atomic<bool> &ready) -> void {
+    while (true) {
+        const auto now = monotonic::now();
+        take_store_answers(it, now);
+        start_store_calls(it, now);
+        send_due_digests(it, now);
+        tick(it, now);
+        log_first_service(it, now);
+        retry_held(it, now);
+        ready = can_serve(it.state) && !it.state.leaving;
+        if (stop && may_stop(it, now))
+            return;
+        it.loop.run_once(next_wake(it, now));
+        // Packets first: an answer that waits unread is no missing answer.
+        on_link(it);
+        try_again(it, monotonic::now());
+    }
+}
+
+} // namespace
+
+auto run_balancer(const balancer_options &options, const packet_format &format,
+                  store_port &store, event_loop &loop,
+                  const std::atomic<bool> &stop, std::atomic<bool> &ready)
+    -> result<void> {
+    const auto now = monotonic::now();
+    context it{.options = options,
+               .format = format,
+               .store = store,
+               .loop = loop,
+               .state = make_board(options, now),
+               .held = {},
+               .openings = {}};
+    BOOST_OUTCOME_TRY(it.link, open_datagram_socket(options.link));
+    BOOST_OUTCOME_TRY(it.peers, open_datagram_socket(options.peers));
+    loop.add(it.link, POLLIN, [](short) {});
+    loop.add(it.peers, POLLIN, [&](short) { on_peers(it); });
+    log_event(severity::info, "started",
+              {{"link", to_string(options.link)},
+               {"failure_domain", options.failure_domain}});
+    serve(it, stop, ready);
+    loop.remove(it.link);
+    loop.remove(it.peers);
+    close(it.link);
+    close(it.peers);
+    log_event(severity::info, "stopped",
+              {{"forwarded", it.state.counters.forwarded}});
+    return boost::outcome_v2::success();
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/board.cpp
@@ -0,0 +1,26 @@
+#include "board.hpp"
+
+#include <array>
+
+namespace dogwoodtrack::carried {
+
+auto to_string(store_outcome outcome) -> std::string_view {
+    static constexpr std::array names{"listed", "changed", "history_gone",
+                                      "refused", "failed"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
+auto version_of(board &it, feed what) -> feed_version & {
+    return it.versions[static_cast<std::size_t>(what)];
+}
+
+auto version_of(const board &it, feed what) -> const feed_version & {
+    return it.versions[static_cast<std::size_t>(what)];
+}
+
+auto can_serve(const board &it) -> bool {
+    return version_of(it, feed::configuration).complete &&
+           version_of(it, feed::upstreams).complete;
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <array>
+
+#include "fleet.hpp"
+#include "peer_messages.hpp"
+#include "steering.hpp"
+#include "store.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// A configuration that arrives in parts.
+struct partial_configuration {
+    std::uint64_t revision = 0;
+    std::vector<std::vector<route_terms>> parts;
+    std::size_t missing = 0;
+};
+
+/// A set of records that arrives in parts.
+struct partial_records {
+    std::uint32_t sender = 0;
+    std::uint64_t as_of = 0;
+    std::vector<bool> arrived;
+    std::size_t missing = 0;
+};
+
+/// State of the calls to the store for one feed.
+struct call_state {
+    bool under_way = false;
+    bool needs_list = false; ///< the changes since `as_of` are gone
+    bool took_over = false;  ///< in place of those that should watch
+    unsigned failures = 0;   ///< in a row
+    time_point not_before{}; ///< of the next call
+    time_point succeeded{};  ///< last answer of the store
+};
+
+/// Counts for metrics.
+struct board_counters {
+    std::array<std::uint64_t, static_cast<std::size_t>(refusal::count)>
+        refused{};
+    std::uint64_t forwarded = 0;
+    std::uint64_t tried_again = 0;
+    std::uint64_t held = 0;
+    std::uint64_t malformed = 0;
+    std::uint64_t store_calls = 0;
+    std::uint64_t peer_messages = 0;
+};
+
+/// What this balancer knows and what its controllers work on. One thread.
+struct board {
+    steering_state steering;
+    fleet members;
+    std::array<feed_version, feed_count> versions{};
+    std::array<call_state, feed_count> calls{};
+    std::array<time_point, feed_count> pulled{};
+    partial_configuration arriving_configuration;
+    partial_records arriving_records;
+    time_point started{};
+    time_point store_returned{}; ///< first answer after it was away
+    bool store_away = false;
+    bool first_start = false; ///< the whole system starts now
+    bool leaving = false;
+    board_counters counters;
+};
+
+auto version_of(board &it, feed what) -> feed_version &;
+auto version_of(const board &it, feed what) -> const feed_version &;
+
+/// Whether new flows can be served: both feeds were read once.
+auto can_serve(const board &it) -> bool;
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -0,0 +1,121 @@
+#include "choice.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+/// An upstream that does not answer gets one trial flow in this time.
+constexpr milliseconds trial_interval{400};
+constexpr milliseconds avoidance{1'500};
+/// Load of an upstream in another failure domain counts this much more.
+constexpr float foreign_factor = 1.6F;
+constexpr float foreign_extra = 0.34F;
+/// An upstream that has just started works this much slower.
+constexpr float cold_factor = 1.6F;
+constexpr float speed_floor = 0.35F;
+constexpr float speed_ceiling = 2.0F;
+constexpr std::uint32_t hanging_limit = 2;
+
+struct service_speed {
+    float mean_ms = 0;
+};
+
+auto mean_service_time(const upstream_table &table,
+                       const std::vector<upstream_index> &list)
+    -> service_speed {
+    float sum = 0;
+    float weight = 0;
+    for (const auto index : list) {
+        const auto &seen = table.all[index].seen;
+        const auto n = static_cast<float>(std::min(seen.served, 8U));
+        sum += seen.service_ms * n;
+        weight += n;
+    }
+    return {.mean_ms = weight > 0 ? sum / weight : 0};
+}
+
+auto speed_of(const upstream &it, const service_speed &service) -> float {
+    constexpr float prior = 3;
+    const auto &seen = it.seen;
+    if (seen.served == 0 || service.mean_ms <= 0 || seen.service_ms <= 0)
+        return 1;
+    const auto n = static_cast<float>(std::min(seen.served, 12U));
+    const auto expected =
+        (seen.service_ms * n + service.mean_ms * prior) / (n + prior);
+    return std::clamp(service.mean_ms / expected, speed_floor, speed_ceiling);
+}
+
+auto is_avoided(const upstream &it, time_point now) -> bool {
+    return now < it.seen.avoid_until;
+}
+
+auto trial_is_due(const upstream &it, time_point now) -> bool {
+    return now - it.seen.last_trial >= trial_interval;
+}
+
+auto load_after_placing(const upstream &it, const choice_position &position,
+                        const service_speed &service, time_point now) -> float {
+    const auto slots = static_cast<float>(std::max<unsigned>(1, it.record.slots));
+    auto load = (static_cast<float>(it.seen.open) + 1) / slots /
+                speed_of(it, service);
+    if (now < it.warm_at)
+        load *= cold_factor;
+    if (it.record.failure_domain != position.failure_domain)
+        load = load * foreign_factor + foreign_extra;
+    if (it.seen.hanging >= hanging_limit)
+        load += static_cast<float>(it.seen.hanging);
+    return load;
+}
+
+struct best_choice {
+    upstream_index index = no_upstream;
+    float load = 0;
+
+    auto offer(upstream_index other, float other_load) -> void {
+        if (index != no_upstream && other_load >= load)
+            return;
+        index = other;
+        load = other_load;
+    }
+};
+
+} // namespace
+
+auto choose_upstream(upstream_table &table, service_key service,
+                     const choice_position &position, upstream_index except,
+                     time_point now) -> upstream_index {
+    const auto found = table.placeable.find(service);
+    if (found == table.placeable.end() || found->second.empty())
+        return no_upstream;
+    const auto &list = found->second;
+    const auto speed = mean_service_time(table, list);
+    const auto start = list.size() * position.rank /
+                       std::max<std::uint32_t>(1, position.count);
+    best_choice best;
+    best_choice avoided;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const auto index = list[(start + i) % list.size()];
+        const auto &it = table.all[index];
+        const auto load = load_after_placing(it, position, speed, now);
+        if (index == except || (is_avoided(it, now) && !trial_is_due(it, now)))
+            avoided.offer(index, load);
+        else
+            best.offer(index, load);
+    }
+    const auto chosen =
+        best.index == no_upstream ? avoided.index : best.index;
+    auto &it = table.all[chosen];
+    if (is_avoided(it, now))
+        it.seen.last_trial = now;
+    return chosen;
+}
+
+auto note_unanswered(upstream &it, time_point now) -> void {
+    ++it.seen.unanswered;
+    if (it.seen.unanswered >= unanswered_limit)
+        it.seen.avoid_until = now + avoidance;
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/configuration.cpp
@@ -0,0 +1,42 @@
+#include "configuration.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+auto index_routes(configuration &it) -> void {
+    std::sort(it.routes.begin(), it.routes.end(),
+              [](const route_terms &a, const route_terms &b) {
+                  return a.address < b.address;
+              });
+}
+
+auto find_route(const configuration &it, const endpoint &address)
+    -> const route_terms * {
+    const auto found = std::lower_bound(
+        it.routes.begin(), it.routes.end(), address,
+        [](const route_terms &route, const endpoint &wanted) {
+            return route.address < wanted;
+        });
+    if (found == it.routes.end() || found->address != address)
+        return nullptr;
+    return &*found;
+}
+
+auto choose_service(const route_terms &route, std::uint64_t flow_hash)
+    -> service_key {
+    std::uint64_t total = 0;
+    for (const auto &it : route.services)
+        total += it.weight;
+    if (total == 0)
+        return route.services.empty() ? 0 : route.services.front().service;
+    auto left = flow_hash % total;
+    for (const auto &it : route.services) {
+        if (left < it.weight)
+            return it.service;
+        left -= it.weight;
+    }
+    return 0;
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/event_loop.cpp
@@ -0,0 +1,45 @@
+#include "event_loop.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+auto event_loop::add(int fd, short events, handler ready) -> void {
+    entries_.push_back({fd, events, std::move(ready)});
+}
+
+auto event_loop::change(int fd, short events) -> void {
+    for (auto &it : entries_) {
+        if (it.fd == fd)
+            it.events = events;
+    }
+}
+
+auto event_loop::remove(int fd) -> void {
+    std::erase_if(entries_, [&](const entry &it) { return it.fd == fd; });
+}
+
+auto event_loop::run_once(time_point until) -> void {
+    polled_.clear();
+    for (const auto &it : entries_)
+        polled_.push_back({.fd = it.fd, .events = it.events, .revents = 0});
+    const auto left =
+        std::chrono::ceil<milliseconds>(until - monotonic::now()).count();
+    const auto wait = static_cast<int>(std::clamp<std::int64_t>(left, 0, 1000));
+    if (poll(polled_.data(), polled_.size(), wait) <= 0)
+        return;
+    for (const auto &seen : polled_) {
+        if (seen.revents == 0)
+            continue;
+        // A handler may add or remove entries.
+        const auto found = std::find_if(
+            entries_.begin(), entries_.end(),
+            [&](const entry &it) { return it.fd == seen.fd; });
+        if (found == entries_.end())
+            continue;
+        const auto ready = found->ready;
+        ready(seen.revents);
+    }
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -0,0 +1,107 @@
+#include "fleet.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+// Capacities within a factor of two are alike; the rest is spread by hash,
+// so that the first in the order are not all of one failure domain.
+auto watches_before(const fleet_member &a, const fleet_member &b) -> bool {
+    const auto large = [](const fleet_member &it) {
+        return it.capacity >= 400 ? 2 : it.capacity >= 80 ? 1 : 0;
+    };
+    if (large(a) != large(b))
+        return large(a) > large(b);
+    return hash_pair(a.address, 1) < hash_pair(b.address, 1);
+}
+
+} // namespace
+
+auto note_member(fleet &it, const fleet_member &seen) -> void {
+    if (seen.address == it.self.address || seen.address == 0)
+        return;
+    auto &known = it.others[seen.address];
+    if (seen.heard < known.heard)
+        return;
+    known = seen;
+}
+
+auto expire_members(fleet &it, time_point now) -> void {
+    boost::unordered::erase_if(it.others, [&](const auto &entry) {
+        return now - entry.second.heard >= member_kept;
+    });
+}
+
+auto is_live(const fleet_member &it, time_point now) -> bool {
+    return now - it.heard < silence_limit;
+}
+
+auto random_peers(fleet &it, std::size_t most, std::size_t own_domain,
+                  time_point now) -> std::vector<std::uint32_t> {
+    std::vector<std::uint32_t> near;
+    std::vector<std::uint32_t> far;
+    for (const auto &[address, member] : it.others) {
+        if (!is_live(member, now))
+            continue;
+        if (member.failure_domain == it.self.failure_domain)
+            near.push_back(address);
+        else
+            far.push_back(address);
+    }
+    std::shuffle(near.begin(), near.end(), it.random);
+    std::shuffle(far.begin(), far.end(), it.random);
+    auto peers = near;
+    if (peers.size() > own_domain)
+        peers.resize(own_domain);
+    for (const auto address : far) {
+        if (peers.size() >= most)
+            break;
+        peers.push_back(address);
+    }
+    for (const auto address : it.seeds) {
+        if (peers.size() >= most)
+            break;
+        if (address != it.self.address && !it.others.contains(address))
+            peers.push_back(address);
+    }
+    return peers;
+}
+
+auto members_to_tell(fleet &it, std::size_t most, time_point now)
+    -> std::vector<fleet_member> {
+    std::vector<fleet_member> told;
+    for (const auto &[address, member] : it.others) {
+        if (is_live(member, now))
+            told.push_back(member);
+    }
+    std::shuffle(told.begin(), told.end(), it.random);
+    if (told.size() > most)
+        told.resize(most);
+    return told;
+}
+
+auto watch_rank(const fleet &it, time_point now) -> std::size_t {
+    return static_cast<std::size_t>(std::count_if(
+        it.others.begin(), it.others.end(), [&](const auto &entry) {
+            const auto &other = entry.second;
+            return is_live(other, now) && !other.leaving &&
+                   (it.self.leaving || watches_before(other, it.self));
+        }));
+}
+
+auto rank_in_domain(const fleet &it, time_point now) -> domain_rank {
+    domain_rank own;
+    for (const auto &[address, member] : it.others) {
+        if (member.failure_domain != it.self.failure_domain ||
+            !is_live(member, now) || member.leaving)
+            continue;
+        ++own.count;
+        if (address < it.self.address)
+            ++own.rank;
+    }
+    return own;
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <random>
+#include <vector>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include "dogwoodtrack/types.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// The two kinds of state that come from the store and spread over peers.
+enum class feed : std::uint8_t { configuration, upstreams, count };
+inline constexpr auto feed_count = static_cast<std::size_t>(feed::count);
+
+/// How far one feed is known.
+struct feed_version {
+    std::uint64_t content = 0; ///< revision of the last change taken
+    std::uint64_t as_of = 0;   ///< complete up to this store revision
+    time_point confirmed{};    ///< the store last showed `as_of` then
+    bool complete = false;     ///< the whole feed was read once
+};
+
+/// One balancer as heard of. Its address identifies it; the port is the
+/// same on all.
+struct fleet_member {
+    std::uint32_t address = 0;
+    std::uint32_t failure_domain = 0;
+    std::uint16_t capacity = 1; ///< thousandths of a core
+    bool leaving = false;
+    time_point heard{}; ///< by anyone, as far as told
+};
+
+/// The balancers of the system as this one knows them. One thread at a time.
+struct fleet {
+    fleet_member self;
+    std::uint16_t port = 0;
+    std::vector<std::uint32_t> seeds;
+    boost::unordered_flat_map<std::uint32_t, fleet_member> others;
+    std::minstd_rand random;
+};
+
+/// A member that nobody heard for this long is taken for dead.
+inline constexpr milliseconds silence_limit{2'000};
+/// A dead member is forgotten after this time.
+inline constexpr milliseconds member_kept{20'000};
+
+/// Takes note that `seen` was heard of at `seen.heard`; an older sign of
+/// life than the one known changes nothing.
+auto note_member(fleet &it, const fleet_member &seen) -> void;
+
+/// Forgets members that have been silent for `member_kept`.
+auto expire_members(fleet &it, time_point now) -> void;
+
+/// Whether the member gave a sign of life within `silence_limit`.
+auto is_live(const fleet_member &it, time_point now) -> bool;
+
+/// Up to `most` live members at random, `own_domain` of them in the own
+/// failure domain where it has so many. Seeds that are not known as members
+/// stand in for missing ones.
+auto random_peers(fleet &it, std::size_t most, std::size_t own_domain,
+                  time_point now) -> std::vector<std::uint32_t>;
+
+/// Up to `most` members heard last, for a digest.
+auto members_to_tell(fleet &it, std::size_t most, time_point now)
+    -> std::vector<fleet_member>;
+
+/// Position of this balancer in the order in which balancers watch the
+/// store: larger ones first, and live ones only.
+auto watch_rank(const fleet &it, time_point now) -> std::size_t;
+
+/// Rank of this balancer among the live ones of its failure domain, and
+/// their number.
+struct domain_rank {
+    std::uint32_t rank = 0;
+    std::uint32_t count = 1;
+};
+auto rank_in_domain(const fleet &it, time_point now) -> domain_rank;
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -0,0 +1,175 @@
+#include "flows.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+/// Late packets of a closed flow are expected for this long.
+constexpr milliseconds closed_kept{2'000};
+/// An answered flow without packets no longer counts as work.
+constexpr milliseconds answered_idle{1'000};
+/// A flow without packets is dropped from the count.
+constexpr milliseconds silent_kept{20'000};
+/// An opening without an answer is dropped.
+constexpr milliseconds opening_kept{3'000};
+/// A request unanswered for this long counts as hanging.
+constexpr milliseconds hanging_after{1'200};
+constexpr float service_weight = 0.15F;
+constexpr std::uint32_t served_enough = 4;
+
+auto milliseconds_between(time_point from, time_point to) -> float {
+    return std::chrono::duration<float, std::milli>(to - from).count();
+}
+
+auto note_served(upstream_observations &seen, float ms) -> void {
+    if (seen.served < served_enough)
+        seen.service_ms = (seen.service_ms * static_cast<float>(seen.served) +
+                           ms) /
+                          static_cast<float>(seen.served + 1);
+    else
+        seen.service_ms += service_weight * (ms - seen.service_ms);
+    ++seen.served;
+}
+
+auto note_answered(upstream_table &upstreams, flow &it, time_point now)
+    -> void {
+    it.stage = flow_stage::answered;
+    if (it.to == no_upstream || it.asked == time_point{})
+        return;
+    auto &seen = upstreams.all[it.to].seen;
+    note_served(seen, milliseconds_between(it.asked, now));
+    seen.hanging = 0;
+    seen.last_answer = now;
+}
+
+auto note_opened(upstream_table &upstreams, flow &it, time_point now) -> void {
+    it.stage = flow_stage::open;
+    if (it.to == no_upstream)
+        return;
+    auto &seen = upstreams.all[it.to].seen;
+    seen.unanswered = 0;
+    seen.last_answer = now;
+}
+
+auto close_flow(upstream_table &upstreams, flow &it) -> void {
+    uncount_flow(upstreams, it);
+    it.stage = flow_stage::closed;
+}
+
+auto time_kept(const flow &it) -> milliseconds {
+    if (it.stage == flow_stage::closed)
+        return closed_kept;
+    if (it.stage == flow_stage::opening)
+        return opening_kept;
+    return silent_kept;
+}
+
+auto inspect(upstream_table &upstreams, flow &it, time_point now) -> void {
+    if (it.stage == flow_stage::answered && now - it.last >= answered_idle)
+        uncount_flow(upstreams, it);
+    if (it.stage != flow_stage::requested || it.hung ||
+        now - it.asked < hanging_after)
+        return;
+    it.hung = true;
+    if (it.to != no_upstream)
+        ++upstreams.all[it.to].seen.hanging;
+}
+
+} // namespace
+
+auto flow_ends_hash::operator()(const flow_ends &it) const -> std::size_t {
+    const auto caller =
+        std::uint64_t{it.caller.address} << 16 | it.caller.port;
+    const auto service =
+        std::uint64_t{it.service.address} << 16 | it.service.port;
+    return hash_pair(caller, service);
+}
+
+auto find_flow(flow_table &flows, const flow_ends &ends) -> flow * {
+    const auto found = flows.all.find(ends);
+    return found == flows.all.end() ? nullptr : &found->second;
+}
+
+auto add_flow(flow_table &flows, const flow_ends &ends, time_point now)
+    -> flow * {
+    if (flows.all.size() >= flows.limit) {
+        ++flows.overflowed;
+        return nullptr;
+    }
+    auto &it = flows.all[ends];
+    it.last = now;
+    flows.sweep_order.push_back(ends);
+    return &it;
+}
+
+auto count_flow(upstream_table &upstreams, flow &it) -> void {
+    if (it.counted || it.to == no_upstream)
+        return;
+    it.counted = true;
+    ++upstreams.all[it.to].seen.open;
+}
+
+auto uncount_flow(upstream_table &upstreams, flow &it) -> void {
+    if (!it.counted)
+        return;
+    it.counted = false;
+    auto &open = upstreams.all[it.to].seen.open;
+    if (open > 0)
+        --open;
+}
+
+auto bind_flow(upstream_table &upstreams, flow &it, upstream_index to) -> void {
+    uncount_flow(upstreams, it);
+    it.to = to;
+    it.code = upstreams.all[to].code;
+    count_flow(upstreams, it);
+}
+
+auto note_packet(upstream_table &upstreams, flow &it, const packet_head &head,
+                 time_point now) -> bool {
+    it.last = now;
+    if (it.stage == flow_stage::closed)
+        return false;
+    const auto first = it.stage == flow_stage::opening;
+    if (first) {
+        note_opened(upstreams, it, now);
+        it.acknowledged = head.acknowledged;
+    }
+    if (it.stage == flow_stage::requested &&
+        head.acknowledged != it.acknowledged)
+        note_answered(upstreams, it, now);
+    if (head.payload > 0 && it.stage != flow_stage::requested) {
+        it.stage = flow_stage::requested;
+        it.asked = now;
+        it.hung = false;
+        it.acknowledged = head.acknowledged;
+        count_flow(upstreams, it);
+    }
+    if (head.finishes || head.aborts)
+        close_flow(upstreams, it);
+    return first;
+}
+
+auto sweep_flows(flow_table &flows, upstream_table &upstreams,
+                 std::size_t most, time_point now) -> void {
+    most = std::min(most, flows.sweep_order.size());
+    for (std::size_t i = 0; i < most; ++i) {
+        const auto ends = flows.sweep_order.front();
+        flows.sweep_order.pop_front();
+        const auto found = flows.all.find(ends);
+        if (found == flows.all.end())
+            continue;
+        auto &it = found->second;
+        inspect(upstreams, it, now);
+        if (now - it.last < time_kept(it)) {
+            flows.sweep_order.push_back(ends);
+            continue;
+        }
+        uncount_flow(upstreams, it);
+        flows.all.erase(found);
+    }
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <deque>
+
+#include <boost/container_hash/hash.hpp>
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include "upstreams.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// The two ends of a flow as its caller's packets name them.
+struct flow_ends {
+    endpoint caller;
+    endpoint service;
+
+    auto operator==(const flow_ends &) const -> bool = default;
+};
+
+/// What a balancer reads of a caller's packet.
+struct packet_head {
+    flow_ends ends;
+    bool opens = false;
+    bool finishes = false;
+    bool aborts = false;
+    std::uint32_t copy = 0;         ///< of an opening packet, from 0
+    std::uint32_t binding = 0;      ///< last one that the caller received
+    std::uint32_t acknowledged = 0; ///< of the upstream's bytes
+    std::uint16_t payload = 0;
+};
+
+/// How far a flow has come, as seen from the caller's packets.
+enum class flow_stage : std::uint8_t {
+    opening,   ///< no answer seen
+    open,      ///< handshake done, nothing asked
+    requested, ///< bytes sent, no answer acknowledged
+    answered,  ///< part of an answer acknowledged
+    closed     ///< kept for late packets only
+};
+
+/// One flow, for counting and for copies of its opening packet. The way of
+/// its packets stands in the packets themselves.
+struct flow {
+    upstream_index to = no_upstream;
+    std::uint32_t code = 0;
+    flow_stage stage = flow_stage::opening;
+    bool counted = false; ///< counts as open at its upstream
+    bool hung = false;    ///< was reported as hanging
+    std::uint8_t tries = 0;
+    std::uint8_t priority = 0;
+    std::uint32_t first_code = 0; ///< of the first upstream tried
+    std::uint32_t acknowledged = 0;
+    time_point sent{};  ///< last opening packet forwarded
+    time_point asked{}; ///< first byte of the request seen
+    time_point last{};  ///< last packet seen
+};
+
+struct flow_ends_hash {
+    auto operator()(const flow_ends &it) const -> std::size_t;
+};
+
+/// Flows seen by this instance, bounded. One thread at a time.
+struct flow_table {
+    boost::unordered_flat_map<flow_ends, flow, flow_ends_hash> all;
+    /// Flows in the order in which the sweep looks at them.
+    std::deque<flow_ends> sweep_order;
+    std::size_t limit = 50'000;
+    std::uint64_t overflowed = 0; ///< flows that found no room
+};
+
+/// The flow with these ends, or null.
+auto find_flow(flow_table &flows, const flow_ends &ends) -> flow *;
+
+/// Adds a flow; null when the table is full. Precondition: it is not there.
+auto add_flow(flow_table &flows, const flow_ends &ends, time_point now)
+    -> flow *;
+
+/// Counts the flow at its upstream, once.
+auto count_flow(upstream_table &upstreams, flow &it) -> void;
+
+/// Takes the flow out of its upstream's count.
+auto uncount_flow(upstream_table &upstreams, flow &it) -> void;
+
+/// Binds the flow to an upstream and counts it there.
+auto bind_flow(upstream_table &upstreams, flow &it, upstream_index to) -> void;
+
+/// Takes note of a packet of an established flow: handshake, request,
+/// answer and end are told from the caller's side. Returns whether it was
+/// the first after the handshake.
+auto note_packet(upstream_table &upstreams, flow &it, const packet_head &head,
+                 time_point now) -> bool;
+
+/// Looks at up to `most` flows: drops ended ones and those without packets,
+/// and reports requests without an answer to their upstream.
+auto sweep_flows(flow_table &flows, upstream_table &upstreams,
+                 std::size_t most, time_point now) -> void;
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -0,0 +1,390 @@
+#include "spread.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+constexpr std::size_t digest_peers = 3;
+constexpr std::size_t digest_members = 24;
+/// A pull that was not answered by then is sent again.
+constexpr milliseconds pull_patience{120};
+/// Larger sets of records are offered by a digest instead of being sent.
+constexpr std::size_t pushed_records_max = 12;
+/// Entries that vanish this soon after the store's return may come back.
+constexpr milliseconds lapse_window{2'500};
+
+auto tell(const feed_version &it, time_point now) -> told_version {
+    return {.content = it.content,
+            .as_of = it.as_of,
+            .age = std::chrono::ceil<milliseconds>(now - it.confirmed),
+            .complete = it.complete};
+}
+
+auto make_digest(board &it, std::size_t members, time_point now)
+    -> digest_message {
+    digest_message digest;
+    digest.sender = it.members.self;
+    digest.sender.leaving = it.leaving;
+    digest.wants_state = !can_serve(it);
+    for (std::size_t i = 0; i < feed_count; ++i)
+        digest.versions[i] = tell(it.versions[i], now);
+    for (const auto &member : members_to_tell(it.members, members, now))
+        digest.members.push_back(
+            {.member = member,
+             .age = std::chrono::ceil<milliseconds>(now - member.heard)});
+    return digest;
+}
+
+auto confirm(feed_version &own, const told_version &told, time_point now)
+    -> void {
+    own.as_of = std::max(own.as_of, told.as_of);
+    own.confirmed = std::max(own.confirmed, now - told.age);
+}
+
+// ---- sending state
+
+auto records_since(const board &it, std::uint64_t since)
+    -> std::vector<upstream_record> {
+    std::vector<upstream_record> records;
+    for (const auto &upstream : it.steering.upstreams.all) {
+        if (!upstream.record.id.empty() && upstream.record.changed_at > since)
+            records.push_back(upstream.record);
+    }
+    return records;
+}
+
+auto send_records(const board &it, std::uint32_t to, std::uint64_t since,
+                  time_point now, std::vector<outgoing> &out) -> void {
+    const auto version = tell(version_of(it, feed::upstreams), now);
+    for (auto &part : split_records(records_since(it, since), since, version))
+        out.push_back({.to = to, .message = std::move(part)});
+}
+
+auto send_routes(const board &it, std::uint32_t to, time_point now,
+                 std::vector<outgoing> &out) -> void {
+    if (!it.steering.in_force)
+        return;
+    const auto version = tell(version_of(it, feed::configuration), now);
+    for (auto &part : split_routes(*it.steering.in_force, version))
+        out.push_back({.to = to, .message = std::move(part)});
+}
+
+auto send_state(const board &it, std::uint32_t to, feed what,
+                std::uint64_t since, time_point now,
+                std::vector<outgoing> &out) -> void {
+    if (!version_of(it, what).complete)
+        return;
+    if (what == feed::configuration)
+        send_routes(it, to, now, out);
+    else
+        send_records(it, to, since, now, out);
+}
+
+auto offer(board &it, std::uint32_t except, time_point now,
+           std::vector<outgoing> &out) -> void {
+    for (const auto to :
+         random_peers(it.members, fanout, fanout / 2 + 1, now)) {
+        if (to != except)
+            out.push_back({.to = to, .message = make_digest(it, 0, now)});
+    }
+}
+
+// New records travel at once to a few peers, which pass them on.
+auto pass_on_records(board &it, std::uint64_t since, std::uint32_t except,
+                     time_point now, std::vector<outgoing> &out) -> void {
+    if (records_since(it, since).size() > pushed_records_max)
+        return offer(it, except, now, out);
+    for (const auto to :
+         random_peers(it.members, fanout, fanout / 2 + 1, now)) {
+        if (to != except)
+            send_records(it, to, since, now, out);
+    }
+}
+
+// ---- digests
+
+auto pull(board &it, std::uint32_t from, feed what, time_point now,
+          std::vector<outgoing> &out) -> void {
+    auto &pulled = it.pulled[static_cast<std::size_t>(what)];
+    if (now - pulled < pull_patience)
+        return;
+    pulled = now;
+    out.push_back(
+        {.to = from,
+         .message = pull_message{.what = what,
+                                 .since = version_of(it, what).as_of}});
+}
+
+auto compare(board &it, std::uint32_t from, feed what,
+             const told_version &told, time_point now,
+             std::vector<outgoing> &out) -> void {
+    if (!told.complete)
+        return;
+    auto &own = version_of(it, what);
+    if (own.complete && told.content == own.content)
+        return confirm(own, told, now);
+    if (!own.complete || told.content > own.content)
+        pull(it, from, what, now, out);
+}
+
+auto on_body(board &it, std::uint32_t from, const digest_message &message,
+             time_point now, std::vector<outgoing> &out) -> void {
+    auto sender = message.sender;
+    sender.address = from;
+    sender.heard = now;
+    note_member(it.members, sender);
+    for (const auto &told : message.members) {
+        auto seen = told.member;
+        seen.heard = now - told.age;
+        if (now - seen.heard < silence_limit)
+            note_member(it.members, seen);
+    }
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto what = static_cast<feed>(i);
+        if (message.wants_state && !message.versions[i].complete)
+            send_state(it, from, what, 0, now, out);
+        else
+            compare(it, from, what, message.versions[i], now, out);
+    }
+}
+
+auto on_body(board &it, std::uint32_t from, const pull_message &message,
+             time_point now, std::vector<outgoing> &out) -> void {
+    send_state(it, from, message.what, message.since, now, out);
+}
+
+// ---- records
+
+// Takes note of one part; returns whether all parts have arrived.
+auto note_part(partial_records &arriving, std::uint32_t from,
+               const records_message &message) -> bool {
+    if (message.parts == 1)
+        return true;
+    if (arriving.sender != from || arriving.as_of != message.version.as_of ||
+        arriving.arrived.size() != message.parts)
+        arriving = {.sender = from,
+                    .as_of = message.version.as_of,
+                    .arrived = std::vector<bool>(message.parts),
+                    .missing = message.parts};
+    if (!arriving.arrived[message.part]) {
+        arriving.arrived[message.part] = true;
+        --arriving.missing;
+    }
+    if (arriving.missing > 0)
+        return false;
+    arriving = {};
+    return true;
+}
+
+auto adopt_version(feed_version &own, const told_version &told, time_point now)
+    -> void {
+    own.complete = true;
+    own.content = std::max(own.content, told.content);
+    confirm(own, told, now);
+}
+
+auto on_body(board &it, std::uint32_t from, const records_message &message,
+             time_point now, std::vector<outgoing> &out) -> void {
+    auto &own = version_of(it, feed::upstreams);
+    const auto before = own.as_of;
+    auto news = false;
+    for (const auto &record : message.records)
+        news |= apply_record(it.steering.upstreams, record, now);
+    const auto fills = own.complete ? message.from <= before
+                                    : message.from == 0;
+    if (!fills)
+        return pull(it, from, feed::upstreams, now, out);
+    if (!note_part(it.arriving_records, from, message))
+        return;
+    const auto first = !own.complete;
+    adopt_version(own, message.version, now);
+    it.steering.upstreams_known = true;
+    it.pulled[static_cast<std::size_t>(feed::upstreams)] = {};
+    if (news && !first)
+        pass_on_records(it, before, from, now, out);
+}
+
+// ---- configurations
+
+auto put_in_force(board &it, std::shared_ptr<configuration> next) -> bool {
+    auto &current = it.steering.in_force;
+    if (current && next->revision <= current->revision)
+        return false;
+    index_routes(*next);
+    current = std::move(next);
+    return true;
+}
+
+auto assemble(partial_configuration &arriving, const routes_message &message)
+    -> std::shared_ptr<configuration> {
+    const auto revision = message.settings.revision;
+    if (arriving.revision > revision)
+        return nullptr;
+    if (arriving.revision != revision ||
+        arriving.parts.size() != message.parts)
+        arriving = {.revision = revision,
+                    .parts = std::vector<std::vector<route_terms>>(
+                        message.parts),
+                    .missing = message.parts};
+    auto &part = arriving.parts[message.part];
+    if (part.empty() && !message.settings.routes.empty()) {
+        part = message.settings.routes;
+        --arriving.missing;
+    }
+    if (arriving.missing > 0 && !message.settings.routes.empty())
+        return nullptr;
+    auto whole = std::make_shared<configuration>(message.settings);
+    whole->routes.clear();
+    for (auto &routes : arriving.parts)
+        whole->routes.insert(whole->routes.end(), routes.begin(),
+                             routes.end());
+    arriving = {};
+    return whole;
+}
+
+auto on_body(board &it, std::uint32_t from, const routes_message &message,
+             time_point now, std::vector<outgoing> &out) -> void {
+    auto &own = version_of(it, feed::configuration);
+    if (own.complete && message.settings.revision <= own.content)
+        return;
+    auto whole = assemble(it.arriving_configuration, message);
+    if (!whole)
+        return;
+    const auto first = !own.complete;
+    if (!put_in_force(it, std::move(whole)))
+        return;
+    adopt_version(own, message.version, now);
+    it.pulled[static_cast<std::size_t>(feed::configuration)] = {};
+    if (!first)
+        offer(it, from, now, out);
+}
+
+// ---- answers of the store
+
+auto may_come_back(const board &it, time_point now) -> bool {
+    return it.store_away || now - it.store_returned < lapse_window;
+}
+
+// An upstream whose entry vanished keeps getting flows for a moment if the
+// store was away, unless it was leaving anyway.
+auto lapse_instead(const board &it, upstream_record record, time_point now)
+    -> upstream_record {
+    const auto &table = it.steering.upstreams;
+    const auto found = table.by_id.find(record.id);
+    if (record.state != upstream_state::gone || found == table.by_id.end())
+        return record;
+    const auto &known = table.all[found->second].record;
+    if (known.state == upstream_state::ready && may_come_back(it, now))
+        record.state = upstream_state::lapsed;
+    return record;
+}
+
+auto sorted_ids(const std::vector<upstream_record> &records)
+    -> std::vector<std::string> {
+    std::vector<std::string> ids;
+    for (const auto &record : records)
+        ids.push_back(record.id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
+auto take_records(board &it, const store_answer &answer, time_point now)
+    -> bool {
+    auto news = false;
+    auto &table = it.steering.upstreams;
+    for (const auto &record : answer.records)
+        news |= apply_record(table, lapse_instead(it, record, now), now);
+    if (answer.outcome != store_outcome::listed)
+        return news;
+    const auto before = table.content;
+    retire_missing(table, sorted_ids(answer.records), answer.as_of,
+                   may_come_back(it, now) ? upstream_state::lapsed
+                                          : upstream_state::gone,
+                   now);
+    it.steering.upstreams_known = true;
+    return news || table.content != before;
+}
+
+auto note_store_answered(board &it, call_state &call, time_point now) -> void {
+    if (it.store_away) {
+        it.store_away = false;
+        it.store_returned = now;
+    }
+    call.failures = 0;
+    call.succeeded = now;
+}
+
+auto take_success(board &it, const store_answer &answer, time_point now,
+                  std::vector<outgoing> &out) -> void {
+    auto &own = version_of(it, answer.what);
+    auto &call = it.calls[static_cast<std::size_t>(answer.what)];
+    note_store_answered(it, call, now);
+    call.needs_list = false;
+    const auto before = own.as_of;
+    const auto first = !own.complete;
+    auto news = false;
+    if (answer.what == feed::upstreams) {
+        news = take_records(it, answer, now);
+        own.content = it.steering.upstreams.content;
+    } else if (answer.settings) {
+        news = put_in_force(it, answer.settings);
+        own.content = std::max(own.content, answer.settings->revision);
+    }
+    own.as_of = std::max(own.as_of, answer.as_of);
+    own.confirmed = now;
+    own.complete =
+        answer.what == feed::upstreams || it.steering.in_force != nullptr;
+    if (!news || first)
+        return;
+    if (answer.what == feed::upstreams)
+        pass_on_records(it, before, 0, now, out);
+    else
+        offer(it, 0, now, out);
+}
+
+} // namespace
+
+auto send_digests(board &it, time_point now, std::vector<outgoing> &out)
+    -> void {
+    expire_members(it.members, now);
+    const auto digest = make_digest(it, digest_members, now);
+    const auto peers = random_peers(it.members, digest_peers, 2, now);
+    for (const auto to : peers)
+        out.push_back({.to = to, .message = digest});
+}
+
+auto on_peer_message(board &it, std::uint32_t from,
+                     const peer_message &message, time_point now,
+                     std::vector<outgoing> &out) -> void {
+    ++it.counters.peer_messages;
+    if (from == it.members.self.address)
+        return;
+    const auto known = it.members.others.find(from);
+    if (known != it.members.others.end())
+        known->second.heard = now;
+    std::visit([&](const auto &body) { on_body(it, from, body, now, out); },
+               message);
+}
+
+auto on_store_answer(board &it, const store_answer &answer, time_point now,
+                     std::vector<outgoing> &out) -> void {
+    auto &call = it.calls[static_cast<std::size_t>(answer.what)];
+    call.under_way = false;
+    switch (answer.outcome) {
+    case store_outcome::listed:
+    case store_outcome::changed:
+        return take_success(it, answer, now, out);
+    case store_outcome::history_gone:
+        note_store_answered(it, call, now);
+        call.needs_list = true;
+        return;
+    case store_outcome::refused:
+    case store_outcome::failed:
+        ++call.failures;
+        it.store_away = true;
+    }
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/spread.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "board.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// A message on its way to a peer.
+struct outgoing {
+    std::uint32_t to = 0;
+    peer_message message;
+};
+
+/// This balancer's sign of life and what it knows, for a few random peers.
+auto send_digests(board &it, time_point now, std::vector<outgoing> &out)
+    -> void;
+
+/// Takes a peer's message. Digests are compared: what the peer knows better
+/// is pulled, what it confirms counts as confirmed. State that is new is
+/// passed on to a few peers.
+auto on_peer_message(board &it, std::uint32_t from,
+                     const peer_message &message, time_point now,
+                     std::vector<outgoing> &out) -> void;
+
+/// Takes an answer of the store and passes what is new on to a few peers.
+auto on_store_answer(board &it, const store_answer &answer, time_point now,
+                     std::vector<outgoing> &out) -> void;
+
+/// Changes after which `confirmed` alone says nothing new: peers that get
+/// new state at once.
+inline constexpr std::size_t fanout = 4;
+/// Time between two digests.
+inline constexpr milliseconds digest_interval{400};
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -0,0 +1,144 @@
+#include "steering.hpp"
+
+#include <array>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+auto forward_to(const steering_state &state, upstream_index to) -> verdict {
+    return {.kind = verdict_kind::forward,
+            .to = to,
+            .code = state.upstreams.all[to].code};
+}
+
+auto refuse(verdict_kind kind, refusal why) -> verdict {
+    return {.kind = kind, .why = why};
+}
+
+// Whether the upstream answered others after this flow's opening packet was
+// sent: then the packet was lost, and the upstream is the right one still.
+auto answered_since(const steering_state &state, const flow &it) -> bool {
+    return it.to != no_upstream &&
+           state.upstreams.all[it.to].seen.last_answer > it.sent;
+}
+
+auto place(steering_state &state, const packet_head &head,
+           const route_terms &route, flow *known, time_point now) -> verdict {
+    const auto service =
+        choose_service(route, flow_ends_hash{}(head.ends));
+    const auto except = known == nullptr ? no_upstream : known->to;
+    const auto to = choose_upstream(state.upstreams, service, state.position,
+                                    except, now);
+    if (to == no_upstream)
+        return refuse(state.upstreams_known ? verdict_kind::reject
+                                            : verdict_kind::hold,
+                      refusal::no_upstream);
+    if (known == nullptr)
+        known = add_flow(state.flows, head.ends, now);
+    if (known == nullptr)
+        return forward_to(state, to);
+    bind_flow(state.upstreams, *known, to);
+    known->stage = flow_stage::opening;
+    known->sent = now;
+    known->last = now;
+    known->priority = route.priority;
+    ++known->tries;
+    if (known->first_code == 0)
+        known->first_code = known->code;
+    return forward_to(state, to);
+}
+
+auto restart(steering_state &state, flow &it) -> void {
+    uncount_flow(state.upstreams, it);
+    it = {};
+}
+
+auto may_get_flows(const steering_state &state, upstream_index index) -> bool {
+    return state.upstreams.all[index].placeable;
+}
+
+auto steer_opening(steering_state &state, const packet_head &head,
+                   time_point now) -> verdict {
+    if (!state.in_force)
+        return refuse(verdict_kind::hold, refusal::no_configuration);
+    const auto *route = find_route(*state.in_force, head.ends.service);
+    if (route == nullptr)
+        return refuse(state.configuration_current ? verdict_kind::reject
+                                                  : verdict_kind::drop,
+                      refusal::no_route);
+    auto *known = find_flow(state.flows, head.ends);
+    if (known != nullptr && known->stage == flow_stage::closed)
+        restart(state, *known);
+    if (known == nullptr || known->to == no_upstream)
+        return place(state, head, *route, known, now);
+    if (known->stage != flow_stage::opening)
+        return forward_to(state, known->to);
+    if (answered_since(state, *known) && may_get_flows(state, known->to)) {
+        known->sent = now;
+        known->last = now;
+        return forward_to(state, known->to);
+    }
+    return place(state, head, *route, known, now);
+}
+
+// The first packet after the handshake names the upstream that the caller
+// took; later ones go there even if another answer changed the binding that
+// the caller repeats.
+auto resolve(const steering_state &state, const flow *known,
+             std::uint32_t binding) -> upstream_index {
+    if (known != nullptr && known->to != no_upstream &&
+        known->stage != flow_stage::opening &&
+        known->stage != flow_stage::closed)
+        return known->to;
+    return index_by_code(state.upstreams, binding);
+}
+
+} // namespace
+
+auto to_string(refusal why) -> std::string_view {
+    static constexpr std::array names{"none", "no_configuration", "no_route",
+                                      "no_upstream", "unknown_binding"};
+    return names[static_cast<std::size_t>(why)];
+}
+
+auto steer(steering_state &state, const packet_head &head, time_point now)
+    -> verdict {
+    if (head.opens)
+        return steer_opening(state, head, now);
+    auto *known = find_flow(state.flows, head.ends);
+    const auto to = resolve(state, known, head.binding);
+    if (to == no_upstream)
+        return refuse(state.upstreams_known ? verdict_kind::drop
+                                            : verdict_kind::hold,
+                      refusal::unknown_binding);
+    if (known == nullptr)
+        known = add_flow(state.flows, head.ends, now);
+    if (known != nullptr) {
+        if (known->to != to)
+            bind_flow(state.upstreams, *known, to);
+        note_packet(state.upstreams, *known, head, now);
+    }
+    return forward_to(state, to);
+}
+
+auto steer_again(steering_state &state, const flow_ends &ends, time_point now)
+    -> verdict {
+    auto *known = find_flow(state.flows, ends);
+    if (known == nullptr || known->stage != flow_stage::opening ||
+        known->to == no_upstream || known->tries > 1)
+        return {};
+    auto &silent = state.upstreams.all[known->to];
+    if (!answered_since(state, *known))
+        note_unanswered(silent, now);
+    const auto to = choose_upstream(state.upstreams, silent.record.service,
+                                    state.position, known->to, now);
+    if (to == no_upstream || to == known->to)
+        return {};
+    bind_flow(state.upstreams, *known, to);
+    known->sent = now;
+    ++known->tries;
+    return forward_to(state, to);
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <memory>
+
+#include "choice.hpp"
+#include "flows.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// What to do with a caller's packet.
+enum class verdict_kind : std::uint8_t {
+    forward, ///< to `to`; an opening packet is written `code` first
+    reject,  ///< tell the caller at once that nothing has run
+    hold,    ///< nothing is known yet: decide again soon
+    drop     ///< an answer could harm; the caller sends it again
+};
+
+/// Why a packet was not forwarded, for logs and metrics.
+enum class refusal : std::uint8_t {
+    none,
+    no_configuration,
+    no_route,
+    no_upstream,
+    unknown_binding,
+    count
+};
+
+/// Name of a refusal in logs and metrics, for example `no_route`.
+auto to_string(refusal why) -> std::string_view;
+
+/// A decision about one packet.
+struct verdict {
+    verdict_kind kind = verdict_kind::drop;
+    refusal why = refusal::none;
+    upstream_index to = no_upstream;
+    std::uint32_t code = 0;
+};
+
+/// What packet decisions are made from. One thread at a time.
+struct steering_state {
+    std::shared_ptr<const configuration> in_force;
+    upstream_table upstreams;
+    flow_table flows;
+    choice_position position;
+    /// Whether the configuration is known to be the store's latest, so that
+    /// an unknown address may be rejected.
+    bool configuration_current = false;
+    bool upstreams_known = false;
+};
+
+/// Decides about one packet of a caller.
+auto steer(steering_state &state, const packet_head &head, time_point now)
+    -> verdict;
+
+/// Decides about an opening packet that got no answer in `answer_wait`: the
+/// upstream to try besides, or `drop` when there is an answer by now.
+auto steer_again(steering_state &state, const flow_ends &ends, time_point now)
+    -> verdict;
+
+/// After this time without an answer an opening packet goes to a second
+/// upstream.
+inline constexpr milliseconds answer_wait{45};
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -0,0 +1,210 @@
+#include "upstreams.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+auto may_get_flows(const upstream_record &it) -> bool {
+    return it.state == upstream_state::ready ||
+           it.state == upstream_state::lapsed;
+}
+
+auto id_of(const upstream_table &table, upstream_index index)
+    -> const std::string & {
+    return table.all[index].record.id;
+}
+
+auto list_as_placeable(upstream_table &table, upstream_index index) -> void {
+    auto &list = table.placeable[table.all[index].record.service];
+    const auto at =
+        std::lower_bound(list.begin(), list.end(), index,
+                         [&](upstream_index a, upstream_index b) {
+                             return id_of(table, a) < id_of(table, b);
+                         });
+    list.insert(at, index);
+}
+
+auto unlist(upstream_table &table, upstream_index index) -> void {
+    const auto found = table.placeable.find(table.all[index].record.service);
+    if (found != table.placeable.end())
+        std::erase(found->second, index);
+}
+
+auto update_placeable(upstream_table &table, upstream_index index) -> void {
+    auto &it = table.all[index];
+    const auto keeps_code = index_by_code(table, it.code) == index;
+    const auto wanted = keeps_code && may_get_flows(it.record);
+    if (wanted == it.placeable)
+        return;
+    it.placeable = wanted;
+    if (wanted)
+        list_as_placeable(table, index);
+    else
+        unlist(table, index);
+}
+
+auto older(const upstream &a, const upstream &b) -> bool {
+    if (a.record.born != b.record.born)
+        return a.record.born < b.record.born;
+    return a.record.id < b.record.id;
+}
+
+// Of two upstreams with one code the older keeps it, on every balancer
+// alike. The younger one gets no flows, so that no packet is ever resolved
+// by a guess.
+auto claim_code(upstream_table &table, upstream_index index) -> void {
+    const auto code = table.all[index].code;
+    const auto [slot, added] = table.by_code.try_emplace(code, index);
+    if (added || slot->second == index)
+        return;
+    const auto holder = slot->second;
+    if (!older(table.all[index], table.all[holder]))
+        return;
+    slot->second = index;
+    update_placeable(table, holder);
+}
+
+auto make_slot(upstream_table &table) -> upstream_index {
+    if (table.free.empty()) {
+        table.all.emplace_back();
+        return static_cast<upstream_index>(table.all.size() - 1);
+    }
+    const auto index = table.free.back();
+    table.free.pop_back();
+    table.all[index] = {};
+    return index;
+}
+
+auto add(upstream_table &table, const upstream_record &record, time_point now)
+    -> void {
+    const auto index = make_slot(table);
+    auto &it = table.all[index];
+    it.record = record;
+    it.code = binding_code(record);
+    it.state_since = now;
+    it.warm_at = now + record.cold_left;
+    table.by_id[record.id] = index;
+    claim_code(table, index);
+    update_placeable(table, index);
+}
+
+auto set_state(upstream_table &table, upstream_index index,
+               upstream_state state, time_point now) -> void {
+    auto &it = table.all[index];
+    if (it.record.state != state)
+        it.state_since = now;
+    it.record.state = state;
+    update_placeable(table, index);
+}
+
+auto replace(upstream_table &table, upstream_index index,
+             const upstream_record &record, time_point now) -> void {
+    auto &it = table.all[index];
+    unlist(table, index);
+    it.placeable = false;
+    const auto changed = it.record.state != record.state;
+    it.record = record;
+    if (changed)
+        it.state_since = now;
+    it.warm_at = now + record.cold_left;
+    update_placeable(table, index);
+}
+
+auto is_newer(const upstream_record &record, const upstream_record &known)
+    -> bool {
+    if (record.revision != known.revision)
+        return record.revision > known.revision;
+    return record.state > known.state;
+}
+
+auto forget(upstream_table &table, upstream_index index) -> void {
+    auto &it = table.all[index];
+    const auto named = table.by_id.find(it.record.id);
+    if (named != table.by_id.end() && named->second == index)
+        table.by_id.erase(named);
+    const auto coded = table.by_code.find(it.code);
+    if (coded != table.by_code.end() && coded->second == index)
+        table.by_code.erase(coded);
+    it = {};
+    table.free.push_back(index);
+}
+
+} // namespace
+
+auto binding_code(const upstream_record &record) -> std::uint32_t {
+    const auto mixed = hash_pair(hash_label(record.id), record.born);
+    const auto code = static_cast<std::uint32_t>(mixed >> 32);
+    return code == 0 ? 1 : code;
+}
+
+auto apply_record(upstream_table &table, const upstream_record &record,
+                  time_point now) -> bool {
+    const auto found = table.by_id.find(record.id);
+    if (found == table.by_id.end()) {
+        table.content = std::max(table.content, record.changed_at);
+        if (record.address.port == 0)
+            return false;
+        add(table, record, now);
+        return true;
+    }
+    const auto index = found->second;
+    const auto &known = table.all[index].record;
+    if (!is_newer(record, known))
+        return false;
+    table.content = std::max(table.content, record.changed_at);
+    // A record without a start, of an entry that vanished, ends the
+    // incarnation known.
+    if (record.born == known.born ||
+        record.state >= upstream_state::lapsed) {
+        auto merged = record;
+        merged.born = known.born;
+        replace(table, index, merged, now);
+        return true;
+    }
+    set_state(table, index, upstream_state::gone, now);
+    add(table, record, now);
+    return true;
+}
+
+auto retire_missing(upstream_table &table,
+                    const std::vector<std::string> &present,
+                    std::uint64_t as_of, upstream_state state, time_point now)
+    -> void {
+    for (const auto &[id, index] : table.by_id) {
+        auto &it = table.all[index];
+        if (it.record.state >= state || it.record.revision > as_of ||
+            std::binary_search(present.begin(), present.end(), id))
+            continue;
+        it.record.changed_at = as_of;
+        table.content = std::max(table.content, as_of);
+        set_state(table, index, state, now);
+    }
+}
+
+auto expire_upstreams(upstream_table &table, milliseconds keep, time_point now)
+    -> void {
+    for (upstream_index i = 0; i < table.all.size(); ++i) {
+        auto &it = table.all[i];
+        if (it.record.state == upstream_state::lapsed &&
+            now - it.state_since >= lapse_grace)
+            set_state(table, i, upstream_state::gone, now);
+        if (it.record.state == upstream_state::gone &&
+            now - it.state_since >= keep && !it.record.id.empty())
+            forget(table, i);
+    }
+}
+
+auto index_by_code(const upstream_table &table, std::uint32_t code)
+    -> upstream_index {
+    const auto found = table.by_code.find(code);
+    return found == table.by_code.end() ? no_upstream : found->second;
+}
+
+auto find_by_code(upstream_table &table, std::uint32_t code) -> upstream * {
+    const auto index = index_by_code(table, code);
+    return index == no_upstream ? nullptr : &table.all[index];
+}
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/watch_duty.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "board.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// Decides whether this balancer calls the store for a feed now. The first
+/// `watchers` in the fleet's order watch it all the time; another one takes
+/// over when what it knows was not confirmed for too long, the next ones in
+/// the order first. A balancer that has just started asks its peers first.
+auto next_call(board &it, feed what, time_point now)
+    -> std::optional<store_call>;
+
+/// Sets the time of the next call by how the last one ended. Call after
+/// `on_store_answer`.
+auto plan_next_call(board &it, const store_answer &answer, time_point now)
+    -> void;
+
+/// Balancers that watch the store at any time.
+inline constexpr std::size_t watchers = 2;
+/// Longest time that a watch waits for a change.
+inline constexpr milliseconds watch_wait{1'200};
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/types.cpp
+++ b/src/libdogwoodtrack/types.cpp
@@ -54,6 +54,10 @@
     return XXH32(name.data(), name.size(), 0);
 }
 
+auto hash_label(std::string_view name) -> std::uint64_t {
+    return XXH3_64bits(name.data(), name.size());
+}
+
 auto hash_pair(std::uint64_t first, std::uint64_t second) -> std::uint64_t {
     const std::uint64_t buf[2] = {first, second};
     return XXH3_64bits(buf, sizeof buf);
