waiting: flows wait for room at upstreams, those that can be in time first

Cause: after the final fault hundreds of openings come at once; upstreams queue 12 and shed the rest with 503, and whoever is fresh waits behind whoever is late anyway.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -1,9 +1,9 @@
 #include "balancer.hpp"
 
 #include <deque>
-#include <unordered_map>
 
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <cstring>
 #include <sys/socket.h>
@@ -13,6 +13,7 @@
 
 #include "dogwoodtrack/event_log.hpp"
 #include "spread.hpp"
+#include "waiting.hpp"
 #include "watch_duty.hpp"
 
 namespace dogwoodtrack::carried {
@@ -22,10 +23,8 @@
 /// Packets taken before other work is looked at.
 constexpr int packet_batch = 64;
 constexpr milliseconds tick_interval{100};
-constexpr milliseconds held_retry{15};
-/// A held packet is older than any copy of it then.
-constexpr milliseconds held_longest{1'300};
-constexpr std::size_t held_max = 512;
+/// Waiting packets are tried again so often.
+constexpr milliseconds waiting_retry{8};
 constexpr std::size_t sweep_share = 256;
 /// A configuration confirmed within this time counts as current.
 constexpr milliseconds current_for{3'000};
@@ -35,11 +34,6 @@
 constexpr milliseconds leave_notice{1'300};
 constexpr int receive_buffer = 1 << 19;
 
-struct held_packet {
-    time_point since;
-    std::vector<std::uint8_t> bytes;
-};
-
 struct pending_opening {
     time_point due;
     flow_ends ends;
@@ -55,11 +49,11 @@
     board state;
     int link = -1;
     int peers = -1;
-    std::deque<held_packet> held;
+    waiting_room waiting;
     std::deque<pending_opening> openings;
     time_point next_tick{};
     time_point next_digest{};
-    time_point next_held{};
+    time_point next_waiting{};
     time_point last_packet{};
     time_point stop_asked{};
     bool served = false;
@@ -145,39 +139,56 @@
     it.openings.push_back(pending);
 }
 
-// Returns false if the packet has to wait.
-auto take_packet(context &it, std::span<std::uint8_t> packet, time_point now)
-    -> bool {
-    const auto head = it.format.read(packet);
-    if (!head) {
-        ++it.state.counters.malformed;
-        return true;
-    }
-    const auto what = steer(it.state.steering, *head, now);
+// Carries out a decision; `hold` is left to the caller.
+auto carry_out(context &it, std::span<std::uint8_t> packet,
+               const packet_head &head, const verdict &what, time_point now)
+    -> void {
     switch (what.kind) {
     case verdict_kind::forward:
-        if (head->opens)
-            remember_opening(it, *head, packet, now);
-        forward(it, packet, what, head->opens);
-        return true;
+        if (head.opens)
+            remember_opening(it, head, packet, now);
+        return forward(it, packet, what, head.opens);
     case verdict_kind::reject:
-        reject(it, packet, *head);
-        note_refusal(it, *head, what);
-        return true;
-    case verdict_kind::hold:
-        return false;
+        reject(it, packet, head);
+        return note_refusal(it, head, what);
     case verdict_kind::drop:
-        note_refusal(it, *head, what);
+        return note_refusal(it, head, what);
+    case verdict_kind::hold:
+        return;
     }
-    return true;
 }
 
-auto hold(context &it, std::span<const std::uint8_t> packet, time_point now)
-    -> void {
+auto describe_wait(const verdict &what, waiting_packet &packet) -> void {
+    packet.service = what.service;
+    if (what.route == nullptr)
+        return;
+    packet.priority = what.route->priority;
+    packet.target = what.route->target;
+}
+
+auto wait_for_room(context &it, std::span<const std::uint8_t> packet,
+                   const packet_head &head, const verdict &what,
+                   time_point now) -> void {
     ++it.state.counters.held;
-    if (it.held.size() >= held_max)
-        it.held.pop_front();
-    it.held.push_back({now, {packet.begin(), packet.end()}});
+    waiting_packet waiting{.head = head,
+                           .bytes = {packet.begin(), packet.end()},
+                           .began = attempt_began(head.copy, now)};
+    describe_wait(what, waiting);
+    add_waiting(it.waiting, std::move(waiting), now);
+}
+
+auto take_packet(context &it, std::span<std::uint8_t> packet, time_point now)
+    -> void {
+    const auto head = it.format.read(packet);
+    if (!head) {
+        ++it.state.counters.malformed;
+        return;
+    }
+    const auto what = steer(it.state.steering, *head, now);
+    if (what.kind == verdict_kind::hold)
+        wait_for_room(it, packet, *head, what, now);
+    else
+        carry_out(it, packet, *head, what, now);
 }
 
 auto on_link(context &it) -> void {
@@ -189,29 +200,44 @@
         if (size <= 0)
             return;
         it.last_packet = now;
-        std::span<std::uint8_t> packet(buf.data() + delivery_room,
-                                       static_cast<std::size_t>(size));
-        if (!take_packet(it, packet, now))
-            hold(it, packet, now);
+        take_packet(it,
+                    {buf.data() + delivery_room,
+                     static_cast<std::size_t>(size)},
+                    now);
     }
 }
 
-auto retry_held(context &it, time_point now) -> void {
-    if (it.held.empty() || now < it.next_held)
+// Opening packets that waited in vain are rejected, so that their callers
+// may try again at once; other packets are sent again by their callers.
+auto give_up_hopeless(context &it, time_point now) -> void {
+    for (const auto &one : take_hopeless(it.waiting, now)) {
+        if (!one.head.opens)
+            continue;
+        reject(it, one.bytes, one.head);
+        note_refusal(it, one.head,
+                     {.kind = verdict_kind::reject, .why = refusal::no_room});
+    }
+}
+
+auto try_waiting_packets(context &it, time_point now) -> void {
+    if (it.waiting.all.empty() || now < it.next_waiting)
         return;
-    it.next_held = now + held_retry;
-    auto waiting = std::move(it.held);
-    it.held.clear();
+    it.next_waiting = now + waiting_retry;
+    give_up_hopeless(it, now);
     std::array<std::uint8_t, delivery_room + packet_limit> buf;
-    for (auto &one : waiting) {
-        if (now - one.since >= held_longest)
-            continue;
+    try_waiting(it.waiting, now, [&](waiting_packet &one) {
+        const auto what = steer(it.state.steering, one.head, now);
+        if (what.kind == verdict_kind::hold) {
+            describe_wait(what, one);
+            return what.why == refusal::no_room ? waiting_outcome::no_room
+                                                : waiting_outcome::no_state;
+        }
         std::span<std::uint8_t> packet(buf.data() + delivery_room,
                                        one.bytes.size());
         std::memcpy(packet.data(), one.bytes.data(), one.bytes.size());
-        if (!take_packet(it, packet, now))
-            it.held.push_back(std::move(one));
-    }
+        carry_out(it, packet, one.head, what, now);
+        return waiting_outcome::done;
+    });
 }
 
 // Opening packets that got no answer go to a second upstream before the
@@ -318,6 +344,7 @@
     auto &position = it.state.steering.position;
     position.rank = own.rank;
     position.count = own.count;
+    position.fleet = own.fleet;
 }
 
 auto log_first_service(context &it, time_point now) -> void {
@@ -332,7 +359,7 @@
                 std::uint64_t{it.state.steering.in_force->routes.size()}},
                {"upstreams",
                 std::uint64_t{it.state.steering.upstreams.by_id.size()}},
-               {"held", std::uint64_t{it.held.size()}}});
+               {"waiting", std::uint64_t{it.waiting.all.size()}}});
 }
 
 auto tick(context &it, time_point now) -> void {
@@ -365,8 +392,8 @@
                           it.store.next_deadline()});
     if (!it.openings.empty())
         next = std::min(next, it.openings.front().due);
-    if (!it.held.empty())
-        next = std::min(next, it.next_held);
+    if (!it.waiting.all.empty())
+        next = std::min(next, it.next_waiting);
     for (const auto &call : it.state.calls) {
         if (!call.under_way && call.not_before > now)
             next = std::min(next, call.not_before);
@@ -419,7 +446,7 @@
         send_due_digests(it, now);
         tick(it, now);
         log_first_service(it, now);
-        retry_held(it, now);
+        try_waiting_packets(it, now);
         ready = can_serve(it.state) && !it.state.leaving;
         if (stop && may_stop(it, now))
             return;
@@ -442,7 +469,7 @@
                .store = store,
                .loop = loop,
                .state = make_board(options, now),
-               .held = {},
+               .waiting = {},
                .openings = {}};
     BOOST_OUTCOME_TRY(it.link, open_datagram_socket(options.link));
     BOOST_OUTCOME_TRY(it.peers, open_datagram_socket(options.peers));
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -59,6 +59,7 @@
     time_point store_returned{}; ///< first answer after it was away
     bool store_away = false;
     bool first_start = false; ///< the whole system starts now
+    bool peers_empty = false; ///< a peer has no state either
     bool leaving = false;
     board_counters counters;
 };
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -10,6 +10,9 @@
 constexpr milliseconds closed_kept{2'000};
 /// An answered flow without packets no longer counts as work.
 constexpr milliseconds answered_idle{1'000};
+/// An opening without an answer no longer counts as work: its caller may
+/// have given up.
+constexpr milliseconds opening_counted{120};
 /// A flow without packets is dropped from the count.
 constexpr milliseconds silent_kept{20'000};
 /// An opening without an answer is dropped.
@@ -48,6 +51,7 @@
     it.stage = flow_stage::open;
     if (it.to == no_upstream)
         return;
+    count_flow(upstreams, it);
     auto &seen = upstreams.all[it.to].seen;
     seen.unanswered = 0;
     seen.last_answer = now;
@@ -69,10 +73,13 @@
 auto inspect(upstream_table &upstreams, flow &it, time_point now) -> void {
     if (it.stage == flow_stage::answered && now - it.last >= answered_idle)
         uncount_flow(upstreams, it);
+    if (it.stage == flow_stage::opening && now - it.sent >= opening_counted)
+        uncount_flow(upstreams, it);
     if (it.stage != flow_stage::requested || it.hung ||
         now - it.asked < hanging_after)
         return;
     it.hung = true;
+    uncount_flow(upstreams, it);
     if (it.to != no_upstream)
         ++upstreams.all[it.to].seen.hanging;
 }
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -135,6 +135,7 @@
     sender.address = from;
     sender.heard = now;
     note_member(it.members, sender);
+    it.peers_empty |= message.wants_state;
     for (const auto &told : message.members) {
         auto seen = told.member;
         seen.heard = now - told.age;
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -12,7 +12,7 @@
 constexpr milliseconds takeover_step{150};
 constexpr std::size_t takeover_ranks = 12;
 /// Peers get this time to answer a balancer that has just started.
-constexpr milliseconds peers_first{60};
+constexpr milliseconds peers_first{20};
 /// When all start together nobody can answer, and they take turns.
 constexpr std::uint64_t first_start_spread_ms = 400;
 /// Changes are gathered for this time before the next watch.
@@ -31,7 +31,7 @@
 
 auto start_delay(const board &it) -> milliseconds {
     if (!it.first_start)
-        return peers_first;
+        return it.peers_empty ? milliseconds{0} : peers_first;
     const auto spread = hash_pair(it.members.self.address, 2);
     return peers_first + milliseconds{static_cast<std::int64_t>(
                              spread % first_start_spread_ms)};
