waiting: only for state; a limit on flows in flight serves callers worse

Cause: a balancer's count of its own flows says too little about an upstream's room, so a limit idles slots; the upstream's own queue does it better, and fresh callers gain nothing. Conclusion: the limit is removed, packets wait only while there is no state.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -158,23 +158,12 @@
     }
 }
 
-auto describe_wait(const verdict &what, waiting_packet &packet) -> void {
-    packet.service = what.service;
-    if (what.route == nullptr)
-        return;
-    packet.priority = what.route->priority;
-    packet.target = what.route->target;
-}
-
-auto wait_for_room(context &it, std::span<const std::uint8_t> packet,
-                   const packet_head &head, const verdict &what,
-                   time_point now) -> void {
+auto wait_for_state(context &it, std::span<const std::uint8_t> packet,
+                    const packet_head &head, time_point now) -> void {
     ++it.state.counters.held;
-    waiting_packet waiting{.head = head,
-                           .bytes = {packet.begin(), packet.end()},
-                           .began = attempt_began(head.copy, now)};
-    describe_wait(what, waiting);
-    add_waiting(it.waiting, std::move(waiting), now);
+    add_waiting(it.waiting, {.head = head,
+                             .bytes = {packet.begin(), packet.end()},
+                             .began = attempt_began(head.copy, now)});
 }
 
 auto take_packet(context &it, std::span<std::uint8_t> packet, time_point now)
@@ -186,7 +175,7 @@
     }
     const auto what = steer(it.state.steering, *head, now);
     if (what.kind == verdict_kind::hold)
-        wait_for_room(it, packet, *head, what, now);
+        wait_for_state(it, packet, *head, now);
     else
         carry_out(it, packet, *head, what, now);
 }
@@ -215,7 +204,8 @@
             continue;
         reject(it, one.bytes, one.head);
         note_refusal(it, one.head,
-                     {.kind = verdict_kind::reject, .why = refusal::no_room});
+                     {.kind = verdict_kind::reject,
+                      .why = refusal::no_configuration});
     }
 }
 
@@ -224,20 +214,16 @@
         return;
     it.next_waiting = now + waiting_retry;
     give_up_hopeless(it, now);
+    if (!can_serve(it.state))
+        return;
     std::array<std::uint8_t, delivery_room + packet_limit> buf;
-    try_waiting(it.waiting, now, [&](waiting_packet &one) {
-        const auto what = steer(it.state.steering, one.head, now);
-        if (what.kind == verdict_kind::hold) {
-            describe_wait(what, one);
-            return what.why == refusal::no_room ? waiting_outcome::no_room
-                                                : waiting_outcome::no_state;
-        }
+    for (const auto &one : std::exchange(it.waiting.all, {})) {
         std::span<std::uint8_t> packet(buf.data() + delivery_room,
                                        one.bytes.size());
         std::memcpy(packet.data(), one.bytes.data(), one.bytes.size());
-        carry_out(it, packet, one.head, what, now);
-        return waiting_outcome::done;
-    });
+        carry_out(it, packet, one.head,
+                  steer(it.state.steering, one.head, now), now);
+    }
 }
 
 // Opening packets that got no answer go to a second upstream before the
@@ -344,7 +330,6 @@
     auto &position = it.state.steering.position;
     position.rank = own.rank;
     position.count = own.count;
-    position.fleet = own.fleet;
 }
 
 auto log_first_service(context &it, time_point now) -> void {
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -1,7 +1,6 @@
 #include "choice.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace dogwoodtrack::carried {
 
@@ -18,13 +17,6 @@
 constexpr float speed_floor = 0.35F;
 constexpr float speed_ceiling = 2.0F;
 constexpr std::uint32_t hanging_limit = 2;
-/// Flows that all balancers together may keep at the upstreams of a failure
-/// domain, per slot: as many wait as are served.
-constexpr double near_depth = 2.5;
-/// The same for the balancers of other failure domains.
-constexpr double far_depth = 1.5;
-/// A balancer may always keep so many flows open in a failure domain.
-constexpr double least_share = 3;
 
 struct service_speed {
     float mean_ms = 0;
@@ -89,98 +81,35 @@
     }
 };
 
-// Slots and own flows of a group of upstreams.
-struct group_load {
-    double slots = 0;
-    double open = 0;
-
-    auto add(const upstream &it) -> void {
-        slots += it.record.slots;
-        open += it.seen.open;
-    }
-
-    auto has_room(double depth, std::uint32_t sharers) const -> bool {
-        const auto share = depth * slots / std::max(1U, sharers);
-        return open < std::max(share, least_share);
-    }
-};
-
-// Whether the upstream would take the flow without a longer queue than its
-// share for one balancer.
-auto has_room(const upstream &it, double depth, std::uint32_t sharers) -> bool {
-    const auto share = depth * it.record.slots / std::max(1U, sharers);
-    return it.seen.open < std::max(1.0, std::ceil(share));
-}
-
-struct candidates {
-    best_choice near;
-    best_choice far;
-    best_choice avoided;
-    group_load near_load;
-    group_load far_load;
-};
-
-auto is_near(const upstream &it, const choice_position &position) -> bool {
-    return it.record.failure_domain == position.failure_domain;
-}
+} // namespace
 
-auto weigh(const upstream_table &table,
-           const std::vector<upstream_index> &list,
-           const choice_position &position, upstream_index except,
-           time_point now) -> candidates {
+auto choose_upstream(upstream_table &table, service_key service,
+                     const choice_position &position, upstream_index except,
+                     time_point now) -> upstream_index {
+    const auto found = table.placeable.find(service);
+    if (found == table.placeable.end() || found->second.empty())
+        return no_upstream;
+    const auto &list = found->second;
     const auto speed = mean_service_time(table, list);
     const auto start = list.size() * position.rank /
                        std::max<std::uint32_t>(1, position.count);
-    candidates all;
+    best_choice best;
+    best_choice avoided;
     for (std::size_t i = 0; i < list.size(); ++i) {
         const auto index = list[(start + i) % list.size()];
         const auto &it = table.all[index];
         const auto load = load_after_placing(it, position, speed, now);
-        if (index == except || (is_avoided(it, now) && !trial_is_due(it, now))) {
-            all.avoided.offer(index, load);
-            continue;
-        }
-        const auto near = is_near(it, position);
-        auto &group = near ? all.near_load : all.far_load;
-        group.add(it);
-        if (has_room(it, near ? near_depth : far_depth,
-                     near ? position.count : position.fleet))
-            (near ? all.near : all.far).offer(index, load);
+        if (index == except || (is_avoided(it, now) && !trial_is_due(it, now)))
+            avoided.offer(index, load);
+        else
+            best.offer(index, load);
     }
-    return all;
-}
-
-auto better(const best_choice &a, const best_choice &b) -> const best_choice & {
-    if (a.index == no_upstream)
-        return b;
-    if (b.index == no_upstream)
-        return a;
-    return b.load < a.load ? b : a;
-}
-
-} // namespace
-
-auto choose_upstream(upstream_table &table, service_key service,
-                     const choice_position &position, upstream_index except,
-                     time_point now) -> choice {
-    const auto found = table.placeable.find(service);
-    if (found == table.placeable.end() || found->second.empty())
-        return {};
-    auto all = weigh(table, found->second, position, except, now);
-    if (!all.near_load.has_room(near_depth, position.count))
-        all.near = {};
-    if (!all.far_load.has_room(far_depth, position.fleet))
-        all.far = {};
-    auto chosen = better(all.near, all.far).index;
-    const auto usable = all.near_load.slots + all.far_load.slots > 0;
-    if (chosen == no_upstream && usable)
-        return {.busy = true};
-    if (chosen == no_upstream)
-        chosen = all.avoided.index;
+    const auto chosen =
+        best.index == no_upstream ? avoided.index : best.index;
     auto &it = table.all[chosen];
     if (is_avoided(it, now))
         it.seen.last_trial = now;
-    return {.to = chosen};
+    return chosen;
 }
 
 auto note_unanswered(upstream &it, time_point now) -> void {
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -94,10 +94,8 @@
 auto rank_in_domain(const fleet &it, time_point now) -> domain_rank {
     domain_rank own;
     for (const auto &[address, member] : it.others) {
-        if (!is_live(member, now) || member.leaving)
-            continue;
-        ++own.fleet;
-        if (member.failure_domain != it.self.failure_domain)
+        if (member.failure_domain != it.self.failure_domain ||
+            !is_live(member, now) || member.leaving)
             continue;
         ++own.count;
         if (address < it.self.address)
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -70,12 +70,11 @@
 /// store: larger ones first, and live ones only.
 auto watch_rank(const fleet &it, time_point now) -> std::size_t;
 
-/// Rank of this balancer among the live ones of its failure domain, their
-/// number, and that of all live ones.
+/// Rank of this balancer among the live ones of its failure domain, and
+/// their number.
 struct domain_rank {
     std::uint32_t rank = 0;
     std::uint32_t count = 1;
-    std::uint32_t fleet = 1;
 };
 auto rank_in_domain(const fleet &it, time_point now) -> domain_rank;
 
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -28,13 +28,8 @@
     const auto service =
         choose_service(route, flow_ends_hash{}(head.ends));
     const auto except = known == nullptr ? no_upstream : known->to;
-    const auto [to, busy] = choose_upstream(state.upstreams, service,
-                                            state.position, except, now);
-    if (busy)
-        return {.kind = verdict_kind::hold,
-                .why = refusal::no_room,
-                .service = service,
-                .route = &route};
+    const auto to = choose_upstream(state.upstreams, service, state.position,
+                                    except, now);
     if (to == no_upstream)
         return refuse(state.upstreams_known ? verdict_kind::reject
                                             : verdict_kind::hold,
@@ -103,8 +98,7 @@
 
 auto to_string(refusal why) -> std::string_view {
     static constexpr std::array names{"none", "no_configuration", "no_route",
-                                      "no_upstream", "unknown_binding",
-                                      "no_room"};
+                                      "no_upstream", "unknown_binding"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -138,8 +132,7 @@
     if (!answered_since(state, *known))
         note_unanswered(silent, now);
     const auto to = choose_upstream(state.upstreams, silent.record.service,
-                                    state.position, known->to, now)
-                        .to;
+                                    state.position, known->to, now);
     if (to == no_upstream || to == known->to)
         return {};
     bind_flow(state.upstreams, *known, to);
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -11,7 +11,7 @@
 enum class verdict_kind : std::uint8_t {
     forward, ///< to `to`; an opening packet is written `code` first
     reject,  ///< tell the caller at once that nothing has run
-    hold,    ///< nothing is known yet or no room: decide again soon
+    hold,    ///< nothing is known yet: decide again soon
     drop     ///< an answer could harm; the caller sends it again
 };
 
@@ -22,7 +22,6 @@
     no_route,
     no_upstream,
     unknown_binding,
-    no_room,
     count
 };
 
@@ -35,8 +34,6 @@
     refusal why = refusal::none;
     upstream_index to = no_upstream;
     std::uint32_t code = 0;
-    service_key service = 0;            ///< of a flow without room
-    const route_terms *route = nullptr; ///< of a flow without room
 };
 
 /// What packet decisions are made from. One thread at a time.
