watch duty: stale first lists, seeds first at the first start, bounds from the settings

Lists at a start may be stale (a tenth of the price), the watch that follows brings them up to date; what the store confirmed is told to five peers at once; the time to take over is a part of what the settings allow.

--- a/src/dogwoodtrackd-carried/main.cpp
+++ b/src/dogwoodtrackd-carried/main.cpp
@@ -35,6 +35,8 @@
     std::string log_level = "info";
     std::int64_t stop_deadline_s = 6;
     std::int64_t flow_lifetime_s = 60;
+    std::int64_t apply_within_ms = 3'000;
+    std::int64_t drain_within_ms = 3'000;
     bool check = false;
 };
 
@@ -85,6 +87,14 @@
         "Seconds a flow may last")
         ->check(CLI::Range(1, 86'400))
         ->capture_default_str();
+    add("--apply-within-ms", raw.apply_within_ms, "APPLY_WITHIN_MS",
+        "Milliseconds after which a new configuration is in force")
+        ->check(CLI::Range(100, 3'600'000))
+        ->capture_default_str();
+    add("--drain-within-ms", raw.drain_within_ms, "DRAIN_WITHIN_MS",
+        "Milliseconds after which an upstream that leaves gets no new flows")
+        ->check(CLI::Range(100, 3'600'000))
+        ->capture_default_str();
     add("--log-level", raw.log_level, "LOG_LEVEL", "Least severity logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}))
         ->capture_default_str();
@@ -111,6 +121,8 @@
     it.balancer.stop_deadline = milliseconds{seconds{raw.stop_deadline_s}};
     if (it.balancer.stop_deadline > 2 * stop_margin)
         it.balancer.stop_deadline -= stop_margin;
+    it.balancer.in_force_within = milliseconds{
+        std::min(raw.apply_within_ms, raw.drain_within_ms)};
     it.balancer.flow_lifetime = seconds{raw.flow_lifetime_s};
     return boost::outcome_v2::success();
 }
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -408,6 +408,7 @@
     const auto domain = hash_name(options.failure_domain);
     it.started = now;
     it.first_start = options.first_start;
+    it.in_force_within = options.in_force_within;
     it.steering.position.failure_domain = domain;
     it.steering.flows.limit = options.flow_capacity;
     it.members.self = {.address = options.peers.address,
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -41,6 +41,8 @@
     std::vector<endpoint> seeds; ///< any address of some balancers
     double cores = 1;            ///< share of a processor
     bool first_start = false;    ///< the whole system starts now
+    /// A change that the store accepted is to be in force by then.
+    milliseconds in_force_within{3'000};
     std::size_t flow_capacity = 50'000;
     milliseconds stop_deadline{5'000};
     seconds flow_lifetime{60};
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -59,7 +59,8 @@
     time_point store_returned{}; ///< first answer after it was away
     bool store_away = false;
     bool first_start = false; ///< the whole system starts now
-    bool peers_empty = false; ///< a peer has no state either
+    /// A change that the store accepted is to be in force by then.
+    milliseconds in_force_within{3'000};
     bool leaving = false;
     board_counters counters;
 };
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::size_t digest_peers = 3;
+/// Peers that get new state, or hear at once that the store confirmed it.
+constexpr std::size_t fanout = 5;
 constexpr std::size_t digest_members = 24;
 /// A pull that was not answered by then is sent again.
 constexpr milliseconds pull_patience{120};
@@ -135,7 +137,6 @@
     sender.address = from;
     sender.heard = now;
     note_member(it.members, sender);
-    it.peers_empty |= message.wants_state;
     for (const auto &told : message.members) {
         auto seen = told.member;
         seen.heard = now - told.age;
@@ -299,12 +300,14 @@
         news |= apply_record(table, lapse_instead(it, record, now), now);
     if (answer.outcome != store_outcome::listed)
         return news;
+    it.steering.upstreams_known = true;
+    if (answer.may_be_stale)
+        return news;
     const auto before = table.content;
     retire_missing(table, sorted_ids(answer.records), answer.as_of,
                    may_come_back(it, now) ? upstream_state::lapsed
                                           : upstream_state::gone,
                    now);
-    it.steering.upstreams_known = true;
     return news || table.content != before;
 }
 
@@ -334,12 +337,13 @@
         own.content = std::max(own.content, answer.settings->revision);
     }
     own.as_of = std::max(own.as_of, answer.as_of);
-    own.confirmed = now;
+    if (!answer.may_be_stale)
+        own.confirmed = now;
     own.complete =
         answer.what == feed::upstreams || it.steering.in_force != nullptr;
-    if (!news || first)
+    if (answer.may_be_stale)
         return;
-    if (answer.what == feed::upstreams)
+    if (news && !first && answer.what == feed::upstreams)
         pass_on_records(it, before, 0, now, out);
     else
         offer(it, 0, now, out);
--- a/src/libdogwoodtrack/carried/spread.hpp
+++ b/src/libdogwoodtrack/carried/spread.hpp
@@ -25,9 +25,6 @@
 auto on_store_answer(board &it, const store_answer &answer, time_point now,
                      std::vector<outgoing> &out) -> void;
 
-/// Changes after which `confirmed` alone says nothing new: peers that get
-/// new state at once.
-inline constexpr std::size_t fanout = 4;
 /// Time between two digests.
 inline constexpr milliseconds digest_interval{400};
 
--- a/src/libdogwoodtrack/carried/store.hpp
+++ b/src/libdogwoodtrack/carried/store.hpp
@@ -26,6 +26,7 @@
     feed what{};
     store_outcome outcome = store_outcome::failed;
     std::uint64_t as_of = 0;
+    bool may_be_stale = false; ///< says nothing of the present
     std::vector<upstream_record> records;
     std::shared_ptr<configuration> settings; ///< if it was there and changed
     std::string detail;                      ///< of a refusal or failure
@@ -35,6 +36,7 @@
 struct store_call {
     feed what{};
     bool list = false;
+    bool may_be_stale = false; ///< a cheaper list, at times seconds old
     std::uint64_t since = 0; ///< of a watch
     milliseconds wait{0};    ///< of a watch
 };
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -6,17 +6,18 @@
 
 namespace {
 
-/// Unconfirmed for so long, a feed is watched by the next in the order.
-constexpr milliseconds takeover_after{1'700};
-/// Each further rank waits so much longer.
-constexpr milliseconds takeover_step{150};
-constexpr std::size_t takeover_ranks = 12;
-/// Peers get this time to answer a balancer that has just started.
-constexpr milliseconds peers_first{20};
-/// When all start together nobody can answer, and they take turns.
-constexpr std::uint64_t first_start_spread_ms = 400;
-/// Changes are gathered for this time before the next watch.
-constexpr milliseconds gather{200};
+/// Parts of the time in which changes have to be in force everywhere: a
+/// feed unconfirmed for so long is watched by the next in the order,
+constexpr int takeover_part = 60;
+/// each further rank waits so much longer,
+constexpr int step_part = 4;
+/// and changes are gathered before the next watch. All in percent.
+constexpr int gather_part = 8;
+constexpr std::size_t takeover_ranks = 6;
+/// At the first start of the system the seeds read the store, and the others
+/// get this time to hear from them.
+constexpr milliseconds seeds_first{1'500};
+constexpr std::uint64_t first_start_spread_ms = 1'500;
 /// Shortest time between two calls, should the store not wait.
 constexpr milliseconds calls_apart{20};
 constexpr milliseconds retry_first{150};
@@ -29,18 +30,24 @@
     return it.calls[static_cast<std::size_t>(what)];
 }
 
+auto is_seed(const board &it) -> bool {
+    const auto &seeds = it.members.seeds;
+    return std::find(seeds.begin(), seeds.end(), it.members.self.address) !=
+           seeds.end();
+}
+
 auto start_delay(const board &it) -> milliseconds {
-    if (!it.first_start)
-        return it.peers_empty ? milliseconds{0} : peers_first;
+    if (!it.first_start || is_seed(it))
+        return milliseconds{0};
     const auto spread = hash_pair(it.members.self.address, 2);
-    return peers_first + milliseconds{static_cast<std::int64_t>(
+    return seeds_first + milliseconds{static_cast<std::int64_t>(
                              spread % first_start_spread_ms)};
 }
 
-auto takeover_delay(std::size_t rank) -> milliseconds {
-    const auto steps = std::min(rank, takeover_ranks);
-    return takeover_after +
-           takeover_step * static_cast<std::int64_t>(steps - watchers);
+auto takeover_delay(const board &it, std::size_t rank) -> milliseconds {
+    const auto steps = std::min(rank - watchers, takeover_ranks);
+    const auto percent = takeover_part + step_part * static_cast<int>(steps);
+    return it.in_force_within * percent / 100;
 }
 
 // A balancer that took over goes on until others confirm the feed again.
@@ -60,7 +67,8 @@
     }
     if (still_needed(own, call))
         return true;
-    call.took_over = now - own.confirmed >= takeover_delay(rank);
+    const auto confirmed = std::max(own.confirmed, it.started);
+    call.took_over = now - confirmed >= takeover_delay(it, rank);
     return call.took_over;
 }
 
@@ -83,8 +91,12 @@
     call.under_way = true;
     ++it.counters.store_calls;
     const auto &own = version_of(it, what);
-    // State that came from peers is watched from where they stand.
-    if (call.needs_list || own.as_of == 0)
+    // What a balancer has when it starts may be old: the watch that follows,
+    // its own or a peer's, brings it up to date.
+    if (own.as_of == 0)
+        return store_call{
+            .what = what, .list = true, .may_be_stale = !it.first_start};
+    if (call.needs_list)
         return store_call{.what = what, .list = true};
     return store_call{
         .what = what, .since = own.as_of, .wait = watch_wait};
@@ -100,6 +112,7 @@
         return;
     case store_outcome::changed: {
         const auto changes = !answer.records.empty() || answer.settings;
+        const auto gather = it.in_force_within * gather_part / 100;
         call.not_before = now + (changes ? gather : calls_apart);
         return;
     }
