watch duty: gather longer, wait longer, no rank before peers are known

Cause: a balancer that had just started knew no peers, took itself for the first in the order and watched; nobody learned from peers that there was no configuration yet; each change of an upstream ended a watch.

--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -122,9 +122,12 @@
 auto compare(board &it, std::uint32_t from, feed what,
              const told_version &told, time_point now,
              std::vector<outgoing> &out) -> void {
+    auto &own = version_of(it, what);
+    // The peer knows that there is nothing yet.
+    if (!told.complete && told.as_of > 0 && !own.complete)
+        return confirm(own, told, now);
     if (!told.complete)
         return;
-    auto &own = version_of(it, what);
     if (own.complete && told.content == own.content)
         return confirm(own, told, now);
     if (!own.complete || told.content > own.content)
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -11,9 +11,13 @@
 constexpr int takeover_part = 60;
 /// each further rank waits so much longer,
 constexpr int step_part = 4;
-/// and changes are gathered before the next watch. All in percent.
-constexpr int gather_part = 8;
+/// changes are gathered before the next watch, all in percent.
+constexpr int gather_part = 20;
+/// A watch waits so long for a change.
+constexpr int wait_part = 35;
 constexpr std::size_t takeover_ranks = 6;
+/// A balancer that has just started knows too few peers to tell its rank.
+constexpr milliseconds rank_known_after{700};
 /// At the first start of the system the seeds read the store, and the others
 /// get this time to hear from them.
 constexpr milliseconds seeds_first{1'500};
@@ -60,6 +64,8 @@
     auto &call = call_of(it, what);
     if (own.as_of == 0)
         return now - it.started >= start_delay(it);
+    if (now - it.started < rank_known_after)
+        return call.needs_list;
     const auto rank = watch_rank(it.members, now);
     if (rank < watchers) {
         call.took_over = false;
@@ -99,7 +105,9 @@
     if (call.needs_list)
         return store_call{.what = what, .list = true};
     return store_call{
-        .what = what, .since = own.as_of, .wait = watch_wait};
+        .what = what,
+        .since = own.as_of,
+        .wait = it.in_force_within * wait_part / 100};
 }
 
 auto plan_next_call(board &it, const store_answer &answer, time_point now)
--- a/src/libdogwoodtrack/carried/watch_duty.hpp
+++ b/src/libdogwoodtrack/carried/watch_duty.hpp
@@ -18,7 +18,5 @@
 
 /// Balancers that watch the store at any time.
 inline constexpr std::size_t watchers = 2;
-/// Longest time that a watch waits for a change.
-inline constexpr milliseconds watch_wait{1'200};
 
 } // namespace dogwoodtrack::carried
