--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -9,13 +9,13 @@
 /// Parts of the time in which changes have to be in force everywhere: a
 /// feed unconfirmed for so long is watched by the next in the order,
 constexpr int takeover_part = 60;
-/// each further rank waits so much longer,
-constexpr int step_part = 4;
+/// each further rank waits so much longer, so that a store that is away is
+/// asked no more often by a large system,
+constexpr int step_part = 5;
 /// changes are gathered before the next watch, all in percent.
 constexpr int gather_part = 20;
 /// A watch waits so long for a change.
 constexpr int wait_part = 35;
-constexpr std::size_t takeover_ranks = 6;
 /// A balancer that has just started knows too few peers to tell its rank.
 constexpr milliseconds rank_known_after{700};
 /// At the first start of the system the seeds read the store, and the others
@@ -26,6 +26,7 @@
 constexpr milliseconds calls_apart{20};
 constexpr milliseconds retry_first{150};
 constexpr milliseconds retry_longest{1'500};
+constexpr milliseconds turn_longest{8'000};
 constexpr unsigned retry_doublings = 4;
 /// A list that is needed while peers can't help is tried more often.
 constexpr milliseconds retry_without_state{400};
@@ -49,9 +50,8 @@
 }
 
 auto takeover_delay(const board &it, std::size_t rank) -> milliseconds {
-    const auto steps = std::min(rank - watchers, takeover_ranks);
-    const auto percent = takeover_part + step_part * static_cast<int>(steps);
-    return it.in_force_within * percent / 100;
+    const auto steps = static_cast<int>(rank - watchers);
+    return it.in_force_within * (takeover_part + step_part * steps) / 100;
 }
 
 // A balancer that took over goes on until others confirm the feed again.
@@ -78,11 +78,24 @@
     return call.took_over;
 }
 
-auto retry_delay(board &it, const call_state &call) -> milliseconds {
+auto turn_length(const board &it, time_point now) -> milliseconds {
+    const auto step = it.in_force_within * step_part / 100;
+    const auto live = std::count_if(
+        it.members.others.begin(), it.members.others.end(),
+        [&](const auto &entry) { return is_live(entry.second, now); });
+    return std::min(step * (live + 1), turn_longest);
+}
+
+// Those that should watch try again soon. The others take turns: all
+// together they try once a step.
+auto retry_delay(board &it, const call_state &call, time_point now)
+    -> milliseconds {
     const auto doublings = std::min(call.failures - 1, retry_doublings);
     auto delay = std::min(retry_first * (1 << doublings), retry_longest);
     if (!can_serve(it))
         delay = std::min(delay, retry_without_state);
+    else if (watch_rank(it.members, now) >= watchers)
+        delay = std::max(delay, turn_length(it, now));
     const auto jitter = it.members.random() % 50;
     return delay + delay * jitter / 100;
 }
@@ -126,7 +139,7 @@
     }
     case store_outcome::refused:
     case store_outcome::failed:
-        call.not_before = now + retry_delay(it, call);
+        call.not_before = now + retry_delay(it, call, now);
     }
 }
 
