answers: upstreams whose answers look like errors, or that hang, are ejected

The caller's packets tell when an answer came and how long it was; far sooner and shorter than usual is an error. Three failures among a few requests eject for 3 s and longer, at most 40% of a service.

--- /dev/null
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -0,0 +1,96 @@
+#include "answers.hpp"
+
+#include <algorithm>
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+constexpr std::uint32_t learned_after = 20;
+constexpr float learning_weight = 0.03F;
+/// An error comes in less than this part of the usual time and is shorter
+/// than this part of the usual answer,
+constexpr float soon_part = 0.35F;
+constexpr float short_part = 0.5F;
+/// or much shorter, whenever it comes.
+constexpr float tiny_part = 0.08F;
+/// Doubt that a failure adds, that an answer takes away, and that ejects.
+constexpr float failure_doubt = 1.0F;
+constexpr float answer_relief = 0.4F;
+constexpr float doubt_limit = 2.9F;
+/// After an ejection one more failure is enough.
+constexpr float doubt_kept = 2.0F;
+constexpr milliseconds first_ejection{3'000};
+constexpr milliseconds longest_ejection{24'000};
+constexpr std::uint8_t doublings_max = 3;
+constexpr double ejected_share_max = 0.4;
+
+auto learn(answer_profile &usual, const answer_seen &answer) -> void {
+    const auto weight =
+        std::max(learning_weight, 1.0F / static_cast<float>(usual.seen + 1));
+    usual.ms += weight * (answer.ms - usual.ms);
+    usual.bytes += weight * (answer.bytes - usual.bytes);
+    ++usual.seen;
+}
+
+// When many look ill, the load or the network is, and nobody is better off
+// with fewer upstreams.
+auto may_eject_one_more(const upstream_table &table, service_key service,
+                        time_point now) -> bool {
+    const auto found = table.placeable.find(service);
+    if (found == table.placeable.end())
+        return false;
+    const auto &list = found->second;
+    const auto ejected = std::count_if(
+        list.begin(), list.end(), [&](upstream_index index) {
+            return is_ejected(table.all[index], now);
+        });
+    return static_cast<double>(ejected + 1) <=
+           ejected_share_max * static_cast<double>(list.size());
+}
+
+auto eject(upstream_observations &seen, time_point now) -> void {
+    const auto length = std::min(
+        first_ejection * (1 << std::min(seen.ejections, doublings_max)),
+        longest_ejection);
+    ++seen.ejections;
+    seen.ejected_until = now + length;
+    seen.doubt = doubt_kept;
+}
+
+} // namespace
+
+auto looks_like_error(answer_profile &usual, const answer_seen &answer)
+    -> bool {
+    const auto soon = answer.ms < soon_part * usual.ms;
+    const auto small = answer.bytes < short_part * usual.bytes;
+    const auto tiny = answer.bytes < tiny_part * usual.bytes;
+    const auto judged = usual.seen >= learned_after;
+    if (judged && ((soon && small) || tiny))
+        return true;
+    learn(usual, answer);
+    return false;
+}
+
+auto note_outcome(upstream_table &table, upstream_index index,
+                  request_outcome outcome, time_point now) -> void {
+    auto &it = table.all[index];
+    auto &seen = it.seen;
+    if (outcome == request_outcome::answered) {
+        seen.doubt = std::max(0.0F, seen.doubt - answer_relief);
+        if (seen.doubt == 0)
+            seen.ejections = 0;
+        return;
+    }
+    seen.doubt += failure_doubt;
+    if (seen.doubt < doubt_limit || is_ejected(it, now) ||
+        !may_eject_one_more(table, it.record.service, now))
+        return;
+    eject(seen, now);
+}
+
+auto is_ejected(const upstream &it, time_point now) -> bool {
+    return now < it.seen.ejected_until;
+}
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -1,5 +1,7 @@
 #include "choice.hpp"
 
+#include "answers.hpp"
+
 #include <algorithm>
 
 namespace dogwoodtrack::carried {
@@ -14,9 +16,8 @@
 constexpr float foreign_extra = 0.34F;
 /// An upstream that has just started works this much slower.
 constexpr float cold_factor = 1.6F;
-constexpr float speed_floor = 0.35F;
+constexpr float speed_floor = 0.15F;
 constexpr float speed_ceiling = 2.0F;
-constexpr std::uint32_t hanging_limit = 2;
 
 struct service_speed {
     float mean_ms = 0;
@@ -48,11 +49,11 @@
 }
 
 auto is_avoided(const upstream &it, time_point now) -> bool {
-    return now < it.seen.avoid_until;
+    return now < it.seen.avoid_until || is_ejected(it, now);
 }
 
 auto trial_is_due(const upstream &it, time_point now) -> bool {
-    return now - it.seen.last_trial >= trial_interval;
+    return !is_ejected(it, now) && now - it.seen.last_trial >= trial_interval;
 }
 
 auto load_after_placing(const upstream &it, const choice_position &position,
@@ -64,8 +65,6 @@
         load *= cold_factor;
     if (it.record.failure_domain != position.failure_domain)
         load = load * foreign_factor + foreign_extra;
-    if (it.seen.hanging >= hanging_limit)
-        load += static_cast<float>(it.seen.hanging);
     return load;
 }
 
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -18,7 +18,7 @@
 /// An opening without an answer is dropped.
 constexpr milliseconds opening_kept{3'000};
 /// A request unanswered for this long counts as hanging.
-constexpr milliseconds hanging_after{1'200};
+constexpr milliseconds hanging_after{800};
 constexpr float service_weight = 0.15F;
 constexpr std::uint32_t served_enough = 4;
 
@@ -42,8 +42,8 @@
     if (it.to == no_upstream || it.asked == time_point{})
         return;
     auto &seen = upstreams.all[it.to].seen;
-    note_served(seen, milliseconds_between(it.asked, now));
-    seen.hanging = 0;
+    it.answer_ms = milliseconds_between(it.asked, now);
+    note_served(seen, it.answer_ms);
     seen.last_answer = now;
 }
 
@@ -57,6 +57,22 @@
     seen.last_answer = now;
 }
 
+// The whole answer is known when the caller closes the flow.
+auto judge_answer(flow_table &flows, upstream_table &upstreams, const flow &it,
+                  const packet_head &head, time_point now) -> void {
+    if (it.stage != flow_stage::answered || it.to == no_upstream ||
+        it.asked == time_point{})
+        return;
+    const answer_seen answer{
+        .ms = it.answer_ms,
+        .bytes = static_cast<float>(head.acknowledged - it.acknowledged)};
+    const auto error =
+        looks_like_error(flows.usual[head.ends.service], answer);
+    note_outcome(upstreams, it.to,
+                 error ? request_outcome::error : request_outcome::answered,
+                 now);
+}
+
 auto close_flow(upstream_table &upstreams, flow &it) -> void {
     uncount_flow(upstreams, it);
     it.stage = flow_stage::closed;
@@ -81,11 +97,15 @@
     it.hung = true;
     uncount_flow(upstreams, it);
     if (it.to != no_upstream)
-        ++upstreams.all[it.to].seen.hanging;
+        note_outcome(upstreams, it.to, request_outcome::hanging, now);
 }
 
 } // namespace
 
+auto endpoint_hash::operator()(const endpoint &it) const -> std::size_t {
+    return hash_pair(it.address, it.port);
+}
+
 auto flow_ends_hash::operator()(const flow_ends &it) const -> std::size_t {
     const auto caller =
         std::uint64_t{it.caller.address} << 16 | it.caller.port;
@@ -134,13 +154,12 @@
     count_flow(upstreams, it);
 }
 
-auto note_packet(upstream_table &upstreams, flow &it, const packet_head &head,
-                 time_point now) -> bool {
+auto note_packet(flow_table &flows, upstream_table &upstreams, flow &it,
+                 const packet_head &head, time_point now) -> void {
     it.last = now;
     if (it.stage == flow_stage::closed)
-        return false;
-    const auto first = it.stage == flow_stage::opening;
-    if (first) {
+        return;
+    if (it.stage == flow_stage::opening) {
         note_opened(upstreams, it, now);
         it.acknowledged = head.acknowledged;
     }
@@ -154,9 +173,10 @@
         it.acknowledged = head.acknowledged;
         count_flow(upstreams, it);
     }
+    if (head.finishes)
+        judge_answer(flows, upstreams, it, head, now);
     if (head.finishes || head.aborts)
         close_flow(upstreams, it);
-    return first;
 }
 
 auto sweep_flows(flow_table &flows, upstream_table &upstreams,
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -5,7 +5,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "upstreams.hpp"
+#include "answers.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -49,12 +49,17 @@
     std::uint8_t tries = 0;
     std::uint8_t priority = 0;
     std::uint32_t first_code = 0; ///< of the first upstream tried
-    std::uint32_t acknowledged = 0;
+    std::uint32_t acknowledged = 0; ///< when the request was sent
+    float answer_ms = 0; ///< from the request to its first answer
     time_point sent{};  ///< last opening packet forwarded
     time_point asked{}; ///< first byte of the request seen
     time_point last{};  ///< last packet seen
 };
 
+struct endpoint_hash {
+    auto operator()(const endpoint &it) const -> std::size_t;
+};
+
 struct flow_ends_hash {
     auto operator()(const flow_ends &it) const -> std::size_t;
 };
@@ -64,6 +69,8 @@
     boost::unordered_flat_map<flow_ends, flow, flow_ends_hash> all;
     /// Flows in the order in which the sweep looks at them.
     std::deque<flow_ends> sweep_order;
+    /// What answers usually look like, by address.
+    boost::unordered_flat_map<endpoint, answer_profile, endpoint_hash> usual;
     std::size_t limit = 50'000;
     std::uint64_t overflowed = 0; ///< flows that found no room
 };
@@ -84,11 +91,10 @@
 /// Binds the flow to an upstream and counts it there.
 auto bind_flow(upstream_table &upstreams, flow &it, upstream_index to) -> void;
 
-/// Takes note of a packet of an established flow: handshake, request,
-/// answer and end are told from the caller's side. Returns whether it was
-/// the first after the handshake.
-auto note_packet(upstream_table &upstreams, flow &it, const packet_head &head,
-                 time_point now) -> bool;
+/// Takes note of a packet of the established flow `it`: handshake, request,
+/// answer and end are told from the caller's side.
+auto note_packet(flow_table &flows, upstream_table &upstreams, flow &it,
+                 const packet_head &head, time_point now) -> void;
 
 /// Looks at up to `most` flows: drops ended ones and those without packets,
 /// and reports requests without an answer to their upstream.
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -117,7 +117,7 @@
     if (known != nullptr) {
         if (known->to != to)
             bind_flow(state.upstreams, *known, to);
-        note_packet(state.upstreams, *known, head, now);
+        note_packet(state.flows, state.upstreams, *known, head, now);
     }
     return forward_to(state, to);
 }
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -38,7 +38,9 @@
 struct upstream_observations {
     std::uint32_t open = 0;       ///< flows opened here and not yet closed
     std::uint32_t unanswered = 0; ///< openings without an answer in a row
-    std::uint32_t hanging = 0;    ///< requests without an answer in a row
+    float doubt = 0; ///< grows with failed requests, see `note_outcome`
+    std::uint8_t ejections = 0; ///< since it was last above doubt
+    time_point ejected_until{};
     time_point avoid_until{};     ///< gets only single trial flows before
     time_point last_trial{};
     time_point last_answer{};
