spread: entries that vanish when the store returns stay for two seconds everywhere

The store counts as away when nobody's calls were answered for half of the time to be in force, and lapsed entries keep their time. Also: of several that watch the store those that only took over stop.

--- a/src/dogwoodtrackd-carried/main.cpp
+++ b/src/dogwoodtrackd-carried/main.cpp
@@ -121,8 +121,8 @@
     it.balancer.stop_deadline = milliseconds{seconds{raw.stop_deadline_s}};
     if (it.balancer.stop_deadline > 2 * stop_margin)
         it.balancer.stop_deadline -= stop_margin;
-    it.balancer.in_force_within = milliseconds{
-        std::min(raw.apply_within_ms, raw.drain_within_ms)};
+    it.balancer.in_force_within =
+        milliseconds{std::min(raw.apply_within_ms, raw.drain_within_ms)};
     it.balancer.flow_lifetime = seconds{raw.flow_lifetime_s};
     return boost::outcome_v2::success();
 }
@@ -160,8 +160,8 @@
         const auto code = app.exit(problem);
         return code == 0 ? 0 : exit_bad_setting;
     }
-    open_log({.instance = it.balancer.name,
-              .least = parse_severity(raw.log_level)});
+    open_log(
+        {.instance = it.balancer.name, .least = parse_severity(raw.log_level)});
     if (const auto read = read_settings(raw, it); !read)
         return fail(read.error(), exit_bad_setting);
     if (raw.check) {
--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -41,8 +41,8 @@
     if (found == table.placeable.end())
         return false;
     const auto &list = found->second;
-    const auto ejected = std::count_if(
-        list.begin(), list.end(), [&](upstream_index index) {
+    const auto ejected =
+        std::count_if(list.begin(), list.end(), [&](upstream_index index) {
             return is_ejected(table.all[index], now);
         });
     return static_cast<double>(ejected + 1) <=
--- a/src/libdogwoodtrack/carried/answers.hpp
+++ b/src/libdogwoodtrack/carried/answers.hpp
@@ -20,8 +20,7 @@
 /// Whether an answer looks like an error: far sooner and shorter than those
 /// on this address usually are. Health checks do not show such upstreams.
 /// Usual answers are learned; nothing is judged before enough were seen.
-auto looks_like_error(answer_profile &usual, const answer_seen &answer)
-    -> bool;
+auto looks_like_error(answer_profile &usual, const answer_seen &answer) -> bool;
 
 /// How a request at an upstream ended, as far as its caller's packets tell.
 enum class request_outcome : std::uint8_t { answered, error, hanging };
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -72,9 +72,9 @@
     const auto address = socket_address(local);
     const auto *any = reinterpret_cast<const sockaddr *>(&address);
     if (fd < 0 || bind(fd, any, sizeof address) < 0)
-        return error{error_kind::socket_failed,
-                     fmt::format("{}: {}", to_string(local),
-                                 std::strerror(errno))};
+        return error{
+            error_kind::socket_failed,
+            fmt::format("{}: {}", to_string(local), std::strerror(errno))};
     // A smaller buffer than asked for serves, too.
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
                sizeof receive_buffer);
@@ -96,8 +96,7 @@
     const auto &upstream = it.state.steering.upstreams.all[to.to];
     if (opens)
         it.format.write_binding(packet, to.code);
-    std::span<std::uint8_t> space(packet.data() - delivery_room,
-                                  delivery_room);
+    std::span<std::uint8_t> space(packet.data() - delivery_room, delivery_room);
     const auto size =
         it.format.write_delivery(space, upstream.record.delivery_id);
     send_datagram(it.link, upstream.record.address, packet.data() - size,
@@ -109,10 +108,10 @@
             const packet_head &head) -> void {
     std::array<std::uint8_t, 64> buf{};
     const auto size = it.format.make_rejection(packet, buf);
-    send_datagram(it.link,
-                  {.address = head.ends.caller.address,
-                   .port = it.options.link.port},
-                  buf.data(), size);
+    send_datagram(
+        it.link,
+        {.address = head.ends.caller.address, .port = it.options.link.port},
+        buf.data(), size);
 }
 
 auto note_refusal(context &it, const packet_head &head, const verdict &what)
@@ -189,10 +188,9 @@
         if (size <= 0)
             return;
         it.last_packet = now;
-        take_packet(it,
-                    {buf.data() + delivery_room,
-                     static_cast<std::size_t>(size)},
-                    now);
+        take_packet(
+            it, {buf.data() + delivery_room, static_cast<std::size_t>(size)},
+            now);
     }
 }
 
@@ -203,9 +201,9 @@
         if (!one.head.opens)
             continue;
         reject(it, one.bytes, one.head);
-        note_refusal(it, one.head,
-                     {.kind = verdict_kind::reject,
-                      .why = refusal::no_configuration});
+        note_refusal(
+            it, one.head,
+            {.kind = verdict_kind::reject, .why = refusal::no_configuration});
     }
 }
 
@@ -221,8 +219,8 @@
         std::span<std::uint8_t> packet(buf.data() + delivery_room,
                                        one.bytes.size());
         std::memcpy(packet.data(), one.bytes.data(), one.bytes.size());
-        carry_out(it, packet, one.head,
-                  steer(it.state.steering, one.head, now), now);
+        carry_out(it, packet, one.head, steer(it.state.steering, one.head, now),
+                  now);
     }
 }
 
@@ -241,11 +239,11 @@
         std::memcpy(packet.data(), pending.bytes.data(), pending.size);
         forward(it, packet, what, true);
         ++it.state.counters.tried_again;
-        log_event(severity::debug, "opening_tried_again",
-                  {{"caller", to_string(pending.ends.caller)},
-                   {"service", to_string(pending.ends.service)},
-                   {"upstream", it.state.steering.upstreams.all[what.to]
-                                    .record.id}});
+        log_event(
+            severity::debug, "opening_tried_again",
+            {{"caller", to_string(pending.ends.caller)},
+             {"service", to_string(pending.ends.service)},
+             {"upstream", it.state.steering.upstreams.all[what.to].record.id}});
     }
 }
 
@@ -254,7 +252,8 @@
 auto send_all(context &it, const std::vector<outgoing> &messages) -> void {
     for (const auto &one : messages) {
         const auto buf = encode(one.message);
-        send_datagram(it.peers, {.address = one.to, .port = it.options.peers.port},
+        send_datagram(it.peers,
+                      {.address = one.to, .port = it.options.peers.port},
                       buf.data(), buf.size());
     }
 }
@@ -270,8 +269,8 @@
                      reinterpret_cast<sockaddr *>(&from), &length);
         if (size <= 0)
             break;
-        const auto message = decode_peer_message(
-            {buf.data(), static_cast<std::size_t>(size)});
+        const auto message =
+            decode_peer_message({buf.data(), static_cast<std::size_t>(size)});
         if (!message) {
             ++it.state.counters.malformed;
             continue;
@@ -286,8 +285,8 @@
 
 auto log_store_answer(const context &it, const store_answer &answer,
                       bool was_away) -> void {
-    const auto what = answer.what == feed::configuration ? "configuration"
-                                                         : "upstreams";
+    const auto what =
+        answer.what == feed::configuration ? "configuration" : "upstreams";
     if (it.state.store_away)
         log_event(was_away ? severity::debug : severity::warning,
                   "store_unreachable",
@@ -317,8 +316,7 @@
 
 auto start_store_calls(context &it, time_point now) -> void {
     for (std::size_t i = 0; i < feed_count; ++i) {
-        if (const auto call =
-                next_call(it.state, static_cast<feed>(i), now))
+        if (const auto call = next_call(it.state, static_cast<feed>(i), now))
             it.store.start(*call, now);
     }
 }
@@ -338,13 +336,12 @@
     it.served = true;
     const auto took =
         std::chrono::duration_cast<milliseconds>(now - it.state.started);
-    log_event(severity::info, "can_serve",
-              {{"after_ms", std::int64_t{took.count()}},
-               {"routes",
-                std::uint64_t{it.state.steering.in_force->routes.size()}},
-               {"upstreams",
-                std::uint64_t{it.state.steering.upstreams.by_id.size()}},
-               {"waiting", std::uint64_t{it.waiting.all.size()}}});
+    log_event(
+        severity::info, "can_serve",
+        {{"after_ms", std::int64_t{took.count()}},
+         {"routes", std::uint64_t{it.state.steering.in_force->routes.size()}},
+         {"upstreams", std::uint64_t{it.state.steering.upstreams.by_id.size()}},
+         {"waiting", std::uint64_t{it.waiting.all.size()}}});
 }
 
 auto tick(context &it, time_point now) -> void {
@@ -356,8 +353,8 @@
     steering.configuration_current =
         version.complete && now - version.confirmed < current_for;
     update_position(it, now);
-    expire_upstreams(steering.upstreams,
-                     it.options.flow_lifetime + seconds{5}, now);
+    expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
+                     now);
     sweep_flows(steering.flows, steering.upstreams, sweep_share, now);
 }
 
@@ -373,8 +370,8 @@
 }
 
 auto next_wake(const context &it, time_point now) -> time_point {
-    auto next = std::min({it.next_tick, it.next_digest,
-                          it.store.next_deadline()});
+    auto next =
+        std::min({it.next_tick, it.next_digest, it.store.next_deadline()});
     if (!it.openings.empty())
         next = std::min(next, it.openings.front().due);
     if (!it.waiting.all.empty())
@@ -393,9 +390,9 @@
         it.state.leaving = true;
         it.state.members.self.leaving = true;
         it.next_digest = now;
-        log_event(severity::info, "stopping",
-                  {{"flows", std::uint64_t{
-                                 it.state.steering.flows.all.size()}}});
+        log_event(
+            severity::info, "stopping",
+            {{"flows", std::uint64_t{it.state.steering.flows.all.size()}}});
     }
     const auto waited = now - it.stop_asked;
     if (waited >= it.options.stop_deadline)
@@ -423,8 +420,8 @@
     return it;
 }
 
-auto serve(context &it, const std::atomic<bool> &stop,
-           std::atomic<bool> &ready) -> void {
+auto serve(context &it, const std::atomic<bool> &stop, std::atomic<bool> &ready)
+    -> void {
     while (true) {
         const auto now = monotonic::now();
         take_store_answers(it, now);
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -32,6 +32,7 @@
     unsigned failures = 0;   ///< in a row
     time_point not_before{}; ///< of the next call
     time_point succeeded{};  ///< last answer of the store
+    time_point others_confirmed{}; ///< last one that a peer told of
 };
 
 /// Counts for metrics.
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -58,9 +58,10 @@
 
 auto load_after_placing(const upstream &it, const choice_position &position,
                         const service_speed &service, time_point now) -> float {
-    const auto slots = static_cast<float>(std::max<unsigned>(1, it.record.slots));
-    auto load = (static_cast<float>(it.seen.open) + 1) / slots /
-                speed_of(it, service);
+    const auto slots =
+        static_cast<float>(std::max<unsigned>(1, it.record.slots));
+    auto load =
+        (static_cast<float>(it.seen.open) + 1) / slots / speed_of(it, service);
     if (now < it.warm_at)
         load *= cold_factor;
     if (it.record.failure_domain != position.failure_domain)
@@ -103,8 +104,7 @@
         else
             best.offer(index, load);
     }
-    const auto chosen =
-        best.index == no_upstream ? avoided.index : best.index;
+    const auto chosen = best.index == no_upstream ? avoided.index : best.index;
     auto &it = table.all[chosen];
     if (is_avoided(it, now))
         it.seen.last_trial = now;
--- a/src/libdogwoodtrack/carried/configuration.cpp
+++ b/src/libdogwoodtrack/carried/configuration.cpp
@@ -13,11 +13,11 @@
 
 auto find_route(const configuration &it, const endpoint &address)
     -> const route_terms * {
-    const auto found = std::lower_bound(
-        it.routes.begin(), it.routes.end(), address,
-        [](const route_terms &route, const endpoint &wanted) {
-            return route.address < wanted;
-        });
+    const auto found =
+        std::lower_bound(it.routes.begin(), it.routes.end(), address,
+                         [](const route_terms &route, const endpoint &wanted) {
+                             return route.address < wanted;
+                         });
     if (found == it.routes.end() || found->address != address)
         return nullptr;
     return &*found;
--- a/src/libdogwoodtrack/carried/event_loop.cpp
+++ b/src/libdogwoodtrack/carried/event_loop.cpp
@@ -32,9 +32,9 @@
         if (seen.revents == 0)
             continue;
         // A handler may add or remove entries.
-        const auto found = std::find_if(
-            entries_.begin(), entries_.end(),
-            [&](const entry &it) { return it.fd == seen.fd; });
+        const auto found =
+            std::find_if(entries_.begin(), entries_.end(),
+                         [&](const entry &it) { return it.fd == seen.fd; });
         if (found == entries_.end())
             continue;
         const auto ready = found->ready;
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -28,9 +28,9 @@
 
 auto note_served(upstream_observations &seen, float ms) -> void {
     if (seen.served < served_enough)
-        seen.service_ms = (seen.service_ms * static_cast<float>(seen.served) +
-                           ms) /
-                          static_cast<float>(seen.served + 1);
+        seen.service_ms =
+            (seen.service_ms * static_cast<float>(seen.served) + ms) /
+            static_cast<float>(seen.served + 1);
     else
         seen.service_ms += service_weight * (ms - seen.service_ms);
     ++seen.served;
@@ -66,8 +66,7 @@
     const answer_seen answer{
         .ms = it.answer_ms,
         .bytes = static_cast<float>(head.acknowledged - it.acknowledged)};
-    const auto error =
-        looks_like_error(flows.usual[head.ends.service], answer);
+    const auto error = looks_like_error(flows.usual[head.ends.service], answer);
     note_outcome(upstreams, it.to,
                  error ? request_outcome::error : request_outcome::answered,
                  now);
@@ -107,8 +106,7 @@
 }
 
 auto flow_ends_hash::operator()(const flow_ends &it) const -> std::size_t {
-    const auto caller =
-        std::uint64_t{it.caller.address} << 16 | it.caller.port;
+    const auto caller = std::uint64_t{it.caller.address} << 16 | it.caller.port;
     const auto service =
         std::uint64_t{it.service.address} << 16 | it.service.port;
     return hash_pair(caller, service);
@@ -179,8 +177,8 @@
         close_flow(upstreams, it);
 }
 
-auto sweep_flows(flow_table &flows, upstream_table &upstreams,
-                 std::size_t most, time_point now) -> void {
+auto sweep_flows(flow_table &flows, upstream_table &upstreams, std::size_t most,
+                 time_point now) -> void {
     most = std::min(most, flows.sweep_order.size());
     for (std::size_t i = 0; i < most; ++i) {
         const auto ends = flows.sweep_order.front();
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -48,12 +48,12 @@
     bool hung = false;    ///< was reported as hanging
     std::uint8_t tries = 0;
     std::uint8_t priority = 0;
-    std::uint32_t first_code = 0; ///< of the first upstream tried
+    std::uint32_t first_code = 0;   ///< of the first upstream tried
     std::uint32_t acknowledged = 0; ///< when the request was sent
-    float answer_ms = 0; ///< from the request to its first answer
-    time_point sent{};  ///< last opening packet forwarded
-    time_point asked{}; ///< first byte of the request seen
-    time_point last{};  ///< last packet seen
+    float answer_ms = 0;            ///< from the request to its first answer
+    time_point sent{};              ///< last opening packet forwarded
+    time_point asked{};             ///< first byte of the request seen
+    time_point last{};              ///< last packet seen
 };
 
 struct endpoint_hash {
@@ -98,7 +98,7 @@
 
 /// Looks at up to `most` flows: drops ended ones and those without packets,
 /// and reports requests without an answer to their upstream.
-auto sweep_flows(flow_table &flows, upstream_table &upstreams,
-                 std::size_t most, time_point now) -> void;
+auto sweep_flows(flow_table &flows, upstream_table &upstreams, std::size_t most,
+                 time_point now) -> void;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -368,8 +368,8 @@
     while (in.next()) {
         switch (in.tag()) {
         case pull_field::what:
-            it.what = in.get_uint32() == 0 ? feed::configuration
-                                           : feed::upstreams;
+            it.what =
+                in.get_uint32() == 0 ? feed::configuration : feed::upstreams;
             break;
         case pull_field::since:
             it.since = in.get_uint64();
@@ -513,7 +513,7 @@
     constexpr std::size_t fixed_size = 85;
     return split<records_message, upstream_record>(
         records, {.from = from, .version = version, .records = {}},
-        [](records_message &it) -> auto & { return it.records; },
+        [](records_message & it) -> auto & { return it.records; },
         [](const upstream_record &it) {
             return std::min(record_limit, fixed_size + it.id.size());
         });
@@ -527,7 +527,7 @@
     settings.routes.clear();
     return split<routes_message, route_terms>(
         whole.routes, {.settings = settings, .version = version},
-        [](routes_message &it) -> auto & { return it.settings.routes; },
+        [](routes_message & it) -> auto & { return it.settings.routes; },
         [](const route_terms &it) {
             return fixed_size + share_size * it.services.size();
         });
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -56,8 +56,8 @@
     std::uint32_t parts = 1;
 };
 
-using peer_message = std::variant<digest_message, pull_message,
-                                  records_message, routes_message>;
+using peer_message =
+    std::variant<digest_message, pull_message, records_message, routes_message>;
 
 /// Largest datagram between balancers, bytes.
 inline constexpr std::size_t peer_datagram_limit = 1'300;
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t pushed_records_max = 12;
 /// Entries that vanish this soon after the store's return may come back.
 constexpr milliseconds lapse_window{2'500};
+/// A feed unconfirmed for this part, in percent, of the time in which changes
+/// have to be in force was so because the store was away.
+constexpr int away_part = 50;
 
 auto tell(const feed_version &it, time_point now) -> told_version {
     return {.content = it.content,
@@ -39,10 +42,13 @@
     return digest;
 }
 
-auto confirm(feed_version &own, const told_version &told, time_point now)
+auto confirm(board &it, feed what, const told_version &told, time_point now)
     -> void {
+    auto &own = version_of(it, what);
+    auto &call = it.calls[static_cast<std::size_t>(what)];
     own.as_of = std::max(own.as_of, told.as_of);
     own.confirmed = std::max(own.confirmed, now - told.age);
+    call.others_confirmed = std::max(call.others_confirmed, now - told.age);
 }
 
 // ---- sending state
@@ -74,8 +80,8 @@
 }
 
 auto send_state(const board &it, std::uint32_t to, feed what,
-                std::uint64_t since, time_point now,
-                std::vector<outgoing> &out) -> void {
+                std::uint64_t since, time_point now, std::vector<outgoing> &out)
+    -> void {
     if (!version_of(it, what).complete)
         return;
     if (what == feed::configuration)
@@ -113,23 +119,21 @@
     if (now - pulled < pull_patience)
         return;
     pulled = now;
-    out.push_back(
-        {.to = from,
-         .message = pull_message{.what = what,
-                                 .since = version_of(it, what).as_of}});
+    out.push_back({.to = from,
+                   .message = pull_message{
+                       .what = what, .since = version_of(it, what).as_of}});
 }
 
-auto compare(board &it, std::uint32_t from, feed what,
-             const told_version &told, time_point now,
-             std::vector<outgoing> &out) -> void {
+auto compare(board &it, std::uint32_t from, feed what, const told_version &told,
+             time_point now, std::vector<outgoing> &out) -> void {
     auto &own = version_of(it, what);
     // The peer knows that there is nothing yet.
     if (!told.complete && told.as_of > 0 && !own.complete)
-        return confirm(own, told, now);
+        return confirm(it, what, told, now);
     if (!told.complete)
         return;
     if (own.complete && told.content == own.content)
-        return confirm(own, told, now);
+        return confirm(it, what, told, now);
     if (!own.complete || told.content > own.content)
         pull(it, from, what, now, out);
 }
@@ -183,11 +187,12 @@
     return true;
 }
 
-auto adopt_version(feed_version &own, const told_version &told, time_point now)
-    -> void {
+auto adopt_version(board &it, feed what, const told_version &told,
+                   time_point now) -> void {
+    auto &own = version_of(it, what);
     own.complete = true;
     own.content = std::max(own.content, told.content);
-    confirm(own, told, now);
+    confirm(it, what, told, now);
 }
 
 auto on_body(board &it, std::uint32_t from, const records_message &message,
@@ -197,14 +202,14 @@
     auto news = false;
     for (const auto &record : message.records)
         news |= apply_record(it.steering.upstreams, record, now);
-    const auto fills = own.complete ? message.from <= before
-                                    : message.from == 0;
+    const auto fills =
+        own.complete ? message.from <= before : message.from == 0;
     if (!fills)
         return pull(it, from, feed::upstreams, now, out);
     if (!note_part(it.arriving_records, from, message))
         return;
     const auto first = !own.complete;
-    adopt_version(own, message.version, now);
+    adopt_version(it, feed::upstreams, message.version, now);
     it.steering.upstreams_known = true;
     it.pulled[static_cast<std::size_t>(feed::upstreams)] = {};
     if (news && !first)
@@ -227,11 +232,10 @@
     const auto revision = message.settings.revision;
     if (arriving.revision > revision)
         return nullptr;
-    if (arriving.revision != revision ||
-        arriving.parts.size() != message.parts)
+    if (arriving.revision != revision || arriving.parts.size() != message.parts)
         arriving = {.revision = revision,
-                    .parts = std::vector<std::vector<route_terms>>(
-                        message.parts),
+                    .parts =
+                        std::vector<std::vector<route_terms>>(message.parts),
                     .missing = message.parts};
     auto &part = arriving.parts[message.part];
     if (part.empty() && !message.settings.routes.empty()) {
@@ -243,8 +247,7 @@
     auto whole = std::make_shared<configuration>(message.settings);
     whole->routes.clear();
     for (auto &routes : arriving.parts)
-        whole->routes.insert(whole->routes.end(), routes.begin(),
-                             routes.end());
+        whole->routes.insert(whole->routes.end(), routes.begin(), routes.end());
     arriving = {};
     return whole;
 }
@@ -260,7 +263,7 @@
     const auto first = !own.complete;
     if (!put_in_force(it, std::move(whole)))
         return;
-    adopt_version(own, message.version, now);
+    adopt_version(it, feed::configuration, message.version, now);
     it.pulled[static_cast<std::size_t>(feed::configuration)] = {};
     if (!first)
         offer(it, from, now, out);
@@ -280,8 +283,10 @@
     const auto found = table.by_id.find(record.id);
     if (record.state != upstream_state::gone || found == table.by_id.end())
         return record;
-    const auto &known = table.all[found->second].record;
-    if (known.state == upstream_state::ready && may_come_back(it, now))
+    const auto known = table.all[found->second].record.state;
+    const auto lapses =
+        known == upstream_state::ready && may_come_back(it, now);
+    if (lapses || known == upstream_state::lapsed)
         record.state = upstream_state::lapsed;
     return record;
 }
@@ -314,11 +319,25 @@
     return news || table.content != before;
 }
 
-auto note_store_answered(board &it, call_state &call, time_point now) -> void {
-    if (it.store_away) {
-        it.store_away = false;
+// The store was away if calls of this balancer failed, or if nobody's calls
+// were answered for longer than watches take.
+auto was_away(const board &it, const feed_version &own, time_point now)
+    -> bool {
+    const auto unconfirmed =
+        own.confirmed != time_point{} &&
+        now - own.confirmed >= it.in_force_within * away_part / 100;
+    return it.store_away || unconfirmed;
+}
+
+// One of several that watch may stop if it only took over.
+auto note_store_answered(board &it, feed what, time_point now) -> void {
+    constexpr milliseconds told_late{50};
+    auto &call = it.calls[static_cast<std::size_t>(what)];
+    if (was_away(it, version_of(it, what), now))
         it.store_returned = now;
-    }
+    it.store_away = false;
+    if (call.others_confirmed > call.succeeded + told_late)
+        call.took_over = false;
     call.failures = 0;
     call.succeeded = now;
 }
@@ -327,7 +346,7 @@
                   std::vector<outgoing> &out) -> void {
     auto &own = version_of(it, answer.what);
     auto &call = it.calls[static_cast<std::size_t>(answer.what)];
-    note_store_answered(it, call, now);
+    note_store_answered(it, answer.what, now);
     call.needs_list = false;
     const auto before = own.as_of;
     const auto first = !own.complete;
@@ -363,9 +382,8 @@
         out.push_back({.to = to, .message = digest});
 }
 
-auto on_peer_message(board &it, std::uint32_t from,
-                     const peer_message &message, time_point now,
-                     std::vector<outgoing> &out) -> void {
+auto on_peer_message(board &it, std::uint32_t from, const peer_message &message,
+                     time_point now, std::vector<outgoing> &out) -> void {
     ++it.counters.peer_messages;
     if (from == it.members.self.address)
         return;
@@ -385,7 +403,7 @@
     case store_outcome::changed:
         return take_success(it, answer, now, out);
     case store_outcome::history_gone:
-        note_store_answered(it, call, now);
+        note_store_answered(it, answer.what, now);
         call.needs_list = true;
         return;
     case store_outcome::refused:
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -25,11 +25,10 @@
 
 auto place(steering_state &state, const packet_head &head,
            const route_terms &route, flow *known, time_point now) -> verdict {
-    const auto service =
-        choose_service(route, flow_ends_hash{}(head.ends));
+    const auto service = choose_service(route, flow_ends_hash{}(head.ends));
     const auto except = known == nullptr ? no_upstream : known->to;
-    const auto to = choose_upstream(state.upstreams, service, state.position,
-                                    except, now);
+    const auto to =
+        choose_upstream(state.upstreams, service, state.position, except, now);
     if (to == no_upstream)
         return refuse(state.upstreams_known ? verdict_kind::reject
                                             : verdict_kind::hold,
--- a/src/libdogwoodtrack/carried/store.hpp
+++ b/src/libdogwoodtrack/carried/store.hpp
@@ -37,8 +37,8 @@
     feed what{};
     bool list = false;
     bool may_be_stale = false; ///< a cheaper list, at times seconds old
-    std::uint64_t since = 0; ///< of a watch
-    milliseconds wait{0};    ///< of a watch
+    std::uint64_t since = 0;   ///< of a watch
+    milliseconds wait{0};      ///< of a watch
 };
 
 /// The platform's store. One call a feed at a time; answers arrive through
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -156,8 +156,7 @@
     table.content = std::max(table.content, record.changed_at);
     // A record without a start, of an entry that vanished, ends the
     // incarnation known.
-    if (record.born == known.born ||
-        record.state >= upstream_state::lapsed) {
+    if (record.born == known.born || record.state >= upstream_state::lapsed) {
         auto merged = record;
         merged.born = known.born;
         replace(table, index, merged, now);
@@ -174,12 +173,18 @@
     -> void {
     for (const auto &[id, index] : table.by_id) {
         auto &it = table.all[index];
-        if (it.record.state >= state || it.record.revision > as_of ||
+        // One that has lapsed keeps the time it was given.
+        if (it.record.state >= upstream_state::lapsed ||
+            it.record.revision > as_of ||
             std::binary_search(present.begin(), present.end(), id))
             continue;
         it.record.changed_at = as_of;
         table.content = std::max(table.content, as_of);
-        set_state(table, index, state, now);
+        set_state(table, index,
+                  it.record.state == upstream_state::draining
+                      ? upstream_state::gone
+                      : state,
+                  now);
     }
 }
 
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -41,7 +41,7 @@
     float doubt = 0; ///< grows with failed requests, see `note_outcome`
     std::uint8_t ejections = 0; ///< since it was last above doubt
     time_point ejected_until{};
-    time_point avoid_until{};     ///< gets only single trial flows before
+    time_point avoid_until{}; ///< gets only single trial flows before
     time_point last_trial{};
     time_point last_answer{};
     float service_ms = 0;     ///< smoothed time from request to answer
@@ -85,7 +85,7 @@
                   time_point now) -> bool;
 
 /// Marks all upstreams whose identifier is not in `present`, and that are
-/// not newer than `as_of`, as `state`. Precondition: `present` is sorted.
+/// not newer than `as_of`, as `state`; draining ones as gone. Precondition: `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
--- a/src/libdogwoodtrack/carried/waiting.cpp
+++ b/src/libdogwoodtrack/carried/waiting.cpp
@@ -38,8 +38,8 @@
         room.all.pop_back();
         ++room.overflowed;
     }
-    const auto at = std::upper_bound(room.all.begin(), room.all.end(), packet,
-                                     goes_before);
+    const auto at =
+        std::upper_bound(room.all.begin(), room.all.end(), packet, goes_before);
     room.all.insert(at, std::move(packet));
 }
 
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -54,11 +54,6 @@
     return it.in_force_within * (takeover_part + step_part * steps) / 100;
 }
 
-// A balancer that took over goes on until others confirm the feed again.
-auto still_needed(const feed_version &own, const call_state &call) -> bool {
-    return call.took_over && own.confirmed <= call.succeeded;
-}
-
 auto has_duty(board &it, feed what, time_point now) -> bool {
     const auto &own = version_of(it, what);
     auto &call = call_of(it, what);
@@ -71,7 +66,8 @@
         call.took_over = false;
         return true;
     }
-    if (still_needed(own, call))
+    // Until others confirm the feed again, see `on_store_answer`.
+    if (call.took_over && call.failures == 0)
         return true;
     const auto confirmed = std::max(own.confirmed, it.started);
     call.took_over = now - confirmed >= takeover_delay(it, rank);
@@ -117,10 +113,9 @@
             .what = what, .list = true, .may_be_stale = !it.first_start};
     if (call.needs_list)
         return store_call{.what = what, .list = true};
-    return store_call{
-        .what = what,
-        .since = own.as_of,
-        .wait = it.in_force_within * wait_part / 100};
+    return store_call{.what = what,
+                      .since = own.as_of,
+                      .wait = it.in_force_within * wait_part / 100};
 }
 
 auto plan_next_call(board &it, const store_answer &answer, time_point now)
--- a/src/libdogwoodtrack/event_log.cpp
+++ b/src/libdogwoodtrack/event_log.cpp
@@ -75,9 +75,8 @@
     return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
 }
 
-auto append_head(fmt::memory_buffer &out, const log_state &it,
-                 severity level, std::string_view event, std::int64_t now_ms)
-    -> void {
+auto append_head(fmt::memory_buffer &out, const log_state &it, severity level,
+                 std::string_view event, std::int64_t now_ms) -> void {
     static constexpr std::array names{"debug", "info", "warning", "error"};
     fmt::format_to(std::back_inserter(out),
                    "{{\"ms\":{},\"level\":\"{}\",\"instance\":", now_ms,
