--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -154,12 +154,18 @@
     if (!is_newer(record, known))
         return false;
     table.content = std::max(table.content, record.changed_at);
-    // A record without a start, of an entry that vanished, ends the
-    // incarnation known.
-    if (record.born == known.born || record.state >= upstream_state::lapsed) {
-        auto merged = record;
-        merged.born = known.born;
-        replace(table, index, merged, now);
+    // A record of an entry that vanished tells nothing else; packets of old
+    // flows still go where they went.
+    if (record.state >= upstream_state::lapsed) {
+        auto ended = known;
+        ended.state = record.state;
+        ended.revision = record.revision;
+        ended.changed_at = record.changed_at;
+        replace(table, index, ended, now);
+        return true;
+    }
+    if (record.born == known.born) {
+        replace(table, index, record, now);
         return true;
     }
     set_state(table, index, upstream_state::gone, now);
