carried: unit tests that name their load; large states are not sent unasked

A starting balancer reads the store; peers send only small states unasked, and once. Silence is judged later among many, digests name fewer members.

--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -10,7 +10,7 @@
 constexpr float learning_weight = 0.03F;
 /// An error comes in less than this part of the usual time and is shorter
 /// than this part of the usual answer,
-constexpr float soon_part = 0.35F;
+constexpr float soon_part = 0.2F;
 constexpr float short_part = 0.5F;
 /// or much shorter, whenever it comes.
 constexpr float tiny_part = 0.08F;
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -27,11 +27,11 @@
 /// State of the calls to the store for one feed.
 struct call_state {
     bool under_way = false;
-    bool needs_list = false; ///< the changes since `as_of` are gone
-    bool took_over = false;  ///< in place of those that should watch
-    unsigned failures = 0;   ///< in a row
-    time_point not_before{}; ///< of the next call
-    time_point succeeded{};  ///< last answer of the store
+    bool needs_list = false;       ///< the changes since `as_of` are gone
+    bool took_over = false;        ///< in place of those that should watch
+    unsigned failures = 0;         ///< in a row
+    time_point not_before{};       ///< of the next call
+    time_point succeeded{};        ///< last answer of the store
     time_point others_confirmed{}; ///< last one that a peer told of
 };
 
@@ -54,6 +54,8 @@
     std::array<feed_version, feed_count> versions{};
     std::array<call_state, feed_count> calls{};
     std::array<time_point, feed_count> pulled{};
+    /// Starting balancers that were sent the whole state, and when.
+    boost::unordered_flat_map<std::uint32_t, time_point> helped;
     partial_configuration arriving_configuration;
     partial_records arriving_records;
     time_point started{};
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+constexpr milliseconds silence_least{2'000};
+constexpr milliseconds silence_a_member{45};
+constexpr milliseconds silence_most{30'000};
+constexpr int kept_limits = 6;
+
 // Capacities within a factor of two are alike; the rest is spread by hash,
 // so that the first in the order are not all of one failure domain.
 auto watches_before(const fleet_member &a, const fleet_member &b) -> bool {
@@ -28,14 +33,27 @@
     known = seen;
 }
 
+auto silence_limit(const fleet &it) -> milliseconds {
+    const auto members = static_cast<std::int64_t>(it.others.size());
+    return std::clamp(silence_a_member * members, silence_least, silence_most);
+}
+
 auto expire_members(fleet &it, time_point now) -> void {
+    const auto kept = silence_limit(it) * kept_limits;
     boost::unordered::erase_if(it.others, [&](const auto &entry) {
-        return now - entry.second.heard >= member_kept;
+        return now - entry.second.heard >= kept;
     });
 }
 
-auto is_live(const fleet_member &it, time_point now) -> bool {
-    return now - it.heard < silence_limit;
+auto is_live(const fleet &it, const fleet_member &member, time_point now)
+    -> bool {
+    return now - member.heard < silence_limit(it);
+}
+
+auto count_live(const fleet &it, time_point now) -> std::size_t {
+    return static_cast<std::size_t>(std::count_if(
+        it.others.begin(), it.others.end(),
+        [&](const auto &entry) { return is_live(it, entry.second, now); }));
 }
 
 auto random_peers(fleet &it, std::size_t most, std::size_t own_domain,
@@ -43,7 +61,7 @@
     std::vector<std::uint32_t> near;
     std::vector<std::uint32_t> far;
     for (const auto &[address, member] : it.others) {
-        if (!is_live(member, now))
+        if (!is_live(it, member, now))
             continue;
         if (member.failure_domain == it.self.failure_domain)
             near.push_back(address);
@@ -73,7 +91,7 @@
     -> std::vector<fleet_member> {
     std::vector<fleet_member> told;
     for (const auto &[address, member] : it.others) {
-        if (is_live(member, now))
+        if (is_live(it, member, now))
             told.push_back(member);
     }
     std::shuffle(told.begin(), told.end(), it.random);
@@ -86,7 +104,7 @@
     return static_cast<std::size_t>(std::count_if(
         it.others.begin(), it.others.end(), [&](const auto &entry) {
             const auto &other = entry.second;
-            return is_live(other, now) && !other.leaving &&
+            return is_live(it, other, now) && !other.leaving &&
                    (it.self.leaving || watches_before(other, it.self));
         }));
 }
@@ -95,7 +113,7 @@
     domain_rank own;
     for (const auto &[address, member] : it.others) {
         if (member.failure_domain != it.self.failure_domain ||
-            !is_live(member, now) || member.leaving)
+            !is_live(it, member, now) || member.leaving)
             continue;
         ++own.count;
         if (address < it.self.address)
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -41,20 +41,23 @@
     std::minstd_rand random;
 };
 
-/// A member that nobody heard for this long is taken for dead.
-inline constexpr milliseconds silence_limit{2'000};
-/// A dead member is forgotten after this time.
-inline constexpr milliseconds member_kept{20'000};
+/// A member that nobody heard for this long is taken for dead. Signs of life
+/// come by hearsay, which takes longer among many.
+auto silence_limit(const fleet &it) -> milliseconds;
 
 /// Takes note that `seen` was heard of at `seen.heard`; an older sign of
 /// life than the one known changes nothing.
 auto note_member(fleet &it, const fleet_member &seen) -> void;
 
-/// Forgets members that have been silent for `member_kept`.
+/// Forgets members that have been silent for a multiple of the limit.
 auto expire_members(fleet &it, time_point now) -> void;
 
 /// Whether the member gave a sign of life within `silence_limit`.
-auto is_live(const fleet_member &it, time_point now) -> bool;
+auto is_live(const fleet &it, const fleet_member &member, time_point now)
+    -> bool;
+
+/// Number of live members besides this balancer.
+auto count_live(const fleet &it, time_point now) -> std::size_t;
 
 /// Up to `most` live members at random, `own_domain` of them in the own
 /// failure domain where it has so many. Seeds that are not known as members
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -9,9 +9,17 @@
 constexpr std::size_t digest_peers = 3;
 /// Peers that get new state, or hear at once that the store confirmed it.
 constexpr std::size_t fanout = 5;
-constexpr std::size_t digest_members = 24;
-/// A pull that was not answered by then is sent again.
-constexpr milliseconds pull_patience{120};
+constexpr std::size_t digest_members = 12;
+/// The store has this time to answer a balancer that has just started,
+/// before it asks its peers for a state too large to be sent unasked.
+constexpr milliseconds start_patience{300};
+/// A pull is sent again when nothing of it arrived for this time.
+constexpr milliseconds pull_patience{150};
+/// A state with at most so many upstreams and routes is sent to a starting
+/// balancer at once; it asks for a larger one, or takes it from the store.
+constexpr std::size_t small_state = 500;
+/// A starting balancer is sent the whole state once in this time.
+constexpr milliseconds help_interval{400};
 /// Larger sets of records are offered by a digest instead of being sent.
 constexpr std::size_t pushed_records_max = 12;
 /// Entries that vanish this soon after the store's return may come back.
@@ -116,7 +124,12 @@
 auto pull(board &it, std::uint32_t from, feed what, time_point now,
           std::vector<outgoing> &out) -> void {
     auto &pulled = it.pulled[static_cast<std::size_t>(what)];
-    if (now - pulled < pull_patience)
+    // A balancer that has just started has asked the store already.
+    const auto starts =
+        !version_of(it, what).complete &&
+        it.calls[static_cast<std::size_t>(what)].failures == 0 &&
+        now - it.started < start_patience;
+    if (starts || now - pulled < pull_patience)
         return;
     pulled = now;
     out.push_back({.to = from,
@@ -138,6 +151,31 @@
         pull(it, from, what, now, out);
 }
 
+auto is_small(const board &it) -> bool {
+    const auto &steering = it.steering;
+    const auto routes =
+        steering.in_force ? steering.in_force->routes.size() : 0;
+    return steering.upstreams.by_id.size() + routes <= small_state;
+}
+
+// A starting balancer that is sent a small state saves a turn.
+auto help_start(board &it, std::uint32_t to, const digest_message &message,
+                time_point now, std::vector<outgoing> &out) -> void {
+    auto &helped = it.helped[to];
+    if (!can_serve(it) ||
+        (helped != time_point{} && now - helped < help_interval))
+        return;
+    helped = now;
+    if (!is_small(it)) {
+        out.push_back({.to = to, .message = make_digest(it, 0, now)});
+        return;
+    }
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        if (!message.versions[i].complete)
+            send_state(it, to, static_cast<feed>(i), 0, now, out);
+    }
+}
+
 auto on_body(board &it, std::uint32_t from, const digest_message &message,
              time_point now, std::vector<outgoing> &out) -> void {
     auto sender = message.sender;
@@ -147,16 +185,13 @@
     for (const auto &told : message.members) {
         auto seen = told.member;
         seen.heard = now - told.age;
-        if (now - seen.heard < silence_limit)
+        if (now - seen.heard < silence_limit(it.members))
             note_member(it.members, seen);
     }
-    for (std::size_t i = 0; i < feed_count; ++i) {
-        const auto what = static_cast<feed>(i);
-        if (message.wants_state && !message.versions[i].complete)
-            send_state(it, from, what, 0, now, out);
-        else
-            compare(it, from, what, message.versions[i], now, out);
-    }
+    for (std::size_t i = 0; i < feed_count; ++i)
+        compare(it, from, static_cast<feed>(i), message.versions[i], now, out);
+    if (message.wants_state)
+        help_start(it, from, message, now, out);
 }
 
 auto on_body(board &it, std::uint32_t from, const pull_message &message,
@@ -206,6 +241,7 @@
         own.complete ? message.from <= before : message.from == 0;
     if (!fills)
         return pull(it, from, feed::upstreams, now, out);
+    it.pulled[static_cast<std::size_t>(feed::upstreams)] = now;
     if (!note_part(it.arriving_records, from, message))
         return;
     const auto first = !own.complete;
@@ -257,6 +293,7 @@
     auto &own = version_of(it, feed::configuration);
     if (own.complete && message.settings.revision <= own.content)
         return;
+    it.pulled[static_cast<std::size_t>(feed::configuration)] = now;
     auto whole = assemble(it.arriving_configuration, message);
     if (!whole)
         return;
@@ -376,6 +413,9 @@
 auto send_digests(board &it, time_point now, std::vector<outgoing> &out)
     -> void {
     expire_members(it.members, now);
+    boost::unordered::erase_if(it.helped, [&](const auto &entry) {
+        return now - entry.second >= help_interval;
+    });
     const auto digest = make_digest(it, digest_members, now);
     const auto peers = random_peers(it.members, digest_peers, 2, now);
     for (const auto to : peers)
--- a/src/libdogwoodtrack/carried/spread.hpp
+++ b/src/libdogwoodtrack/carried/spread.hpp
@@ -25,6 +25,6 @@
                      std::vector<outgoing> &out) -> void;
 
 /// Time between two digests.
-inline constexpr milliseconds digest_interval{400};
+inline constexpr milliseconds digest_interval{500};
 
 } // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/steering_test.cpp
@@ -0,0 +1,198 @@
+#include <doctest/doctest.h>
+
+#include "test_support.hpp"
+
+using namespace dogwoodtrack;
+using namespace dogwoodtrack::carried;
+using namespace dogwoodtrack::carried::test;
+
+namespace {
+
+auto make_state(std::size_t upstreams) -> steering_state {
+    steering_state it;
+    it.in_force = make_configuration(1);
+    it.configuration_current = true;
+    it.upstreams_known = true;
+    it.position.failure_domain = 1;
+    for (std::size_t i = 0; i < upstreams; ++i)
+        apply_record(it.upstreams, make_record("i-" + std::to_string(i), i + 1),
+                     start);
+    return it;
+}
+
+// Opens a flow, asks and gets an answer of `bytes` after `work`.
+auto serve(steering_state &state, std::uint16_t port, milliseconds work,
+           std::uint32_t bytes, time_point now) -> upstream_index {
+    const auto placed = steer(state, opening(port), now);
+    REQUIRE(placed.kind == verdict_kind::forward);
+    steer(state, later(port, placed.code, 100), now + milliseconds{5});
+    auto last = later(port, placed.code, 0, 500 + bytes);
+    last.finishes = true;
+    steer(state, last, now + milliseconds{5} + work);
+    return placed.to;
+}
+
+} // namespace
+
+TEST_CASE("a packet goes where its code says, without any state of its flow") {
+    auto first = make_state(4);
+    auto second = make_state(4);
+    const auto placed = steer(first, opening(7), start);
+    REQUIRE(placed.kind == verdict_kind::forward);
+    const auto there = steer(second, later(7, placed.code), start);
+    CHECK(there.kind == verdict_kind::forward);
+    CHECK(there.to == placed.to);
+}
+
+TEST_CASE("a code that nobody here knows is never answered with a reset") {
+    auto state = make_state(2);
+    CHECK(steer(state, later(7, 12345), start).kind == verdict_kind::drop);
+    state.upstreams_known = false;
+    CHECK(steer(state, later(7, 12345), start).kind == verdict_kind::hold);
+}
+
+TEST_CASE("an unknown address is rejected only by a current configuration") {
+    auto state = make_state(2);
+    auto head = opening(7);
+    head.ends.service.port = 9;
+    CHECK(steer(state, head, start).kind == verdict_kind::reject);
+    state.configuration_current = false;
+    CHECK(steer(state, head, start).kind == verdict_kind::drop);
+}
+
+TEST_CASE("with no upstream left a new flow is rejected at once") {
+    auto state = make_state(0);
+    const auto what = steer(state, opening(7), start);
+    CHECK(what.kind == verdict_kind::reject);
+    CHECK(what.why == refusal::no_upstream);
+}
+
+TEST_CASE("dead upstream: an opening without an answer gets a second one") {
+    auto state = make_state(3);
+    const auto first = steer(state, opening(7), start);
+    const auto second =
+        steer_again(state, opening(7).ends, start + answer_wait);
+    REQUIRE(second.kind == verdict_kind::forward);
+    CHECK(second.to != first.to);
+    // The caller takes either; later packets follow what it took.
+    steer(state, later(7, first.code), start + milliseconds{60});
+    CHECK(steer(state, later(7, second.code), start + milliseconds{70}).to ==
+          first.to);
+}
+
+TEST_CASE("lost opening: a copy goes to the same upstream if it answers") {
+    auto state = make_state(3);
+    const auto placed = steer(state, opening(7), start);
+    state.upstreams.all[placed.to].seen.last_answer = start + milliseconds{20};
+    const auto copy = steer(state, opening(7, 1), start + milliseconds{200});
+    CHECK(copy.to == placed.to);
+}
+
+TEST_CASE("dead upstream: after two silent openings it gets single trials") {
+    auto state = make_state(3);
+    auto &silent = state.upstreams.all[0];
+    note_unanswered(silent, start);
+    note_unanswered(silent, start);
+    std::size_t trials = 0;
+    for (std::uint16_t port = 1; port <= 300; ++port) {
+        const auto now = start + milliseconds{port};
+        if (steer(state, opening(port), now).to == 0)
+            ++trials;
+    }
+    CHECK(trials == 1);
+}
+
+TEST_CASE("even load: equal upstreams of the own domain share it") {
+    auto state = make_state(4);
+    apply_record(state.upstreams, make_record("i-far", 50, 2), start);
+    for (std::uint16_t port = 1; port <= 8; ++port)
+        steer(state, opening(port), start);
+    for (upstream_index i = 0; i < 4; ++i)
+        CHECK(state.upstreams.all[i].seen.open == 2);
+    CHECK(state.upstreams.all[4].seen.open == 0);
+}
+
+TEST_CASE("domain without room: work goes to another failure domain") {
+    auto state = make_state(1);
+    apply_record(state.upstreams, make_record("i-far", 50, 2), start);
+    for (std::uint16_t port = 1; port <= 8; ++port)
+        steer(state, opening(port), start);
+    CHECK(state.upstreams.all[1].seen.open > 0);
+    CHECK(state.upstreams.all[0].seen.open > state.upstreams.all[1].seen.open);
+}
+
+TEST_CASE("uneven speed: an upstream five times slower gets little work") {
+    auto state = make_state(4);
+    auto now = start;
+    std::size_t slow = 0;
+    for (std::uint16_t port = 1; port <= 800; ++port, now += milliseconds{10}) {
+        const auto placed = steer(state, opening(port), now);
+        const auto is_slow = placed.to == 2;
+        slow += is_slow && port > 400 ? 1 : 0;
+        steer(state, later(port, placed.code, 100), now);
+        auto last = later(port, placed.code, 0, 1'500);
+        last.finishes = true;
+        steer(state, last, now + milliseconds{is_slow ? 200 : 40});
+    }
+    CHECK(slow < 40);
+}
+
+TEST_CASE("errors at once: an upstream that fails fast is ejected") {
+    auto state = make_state(5);
+    auto now = start;
+    std::size_t failures = 0;
+    for (std::uint16_t port = 1; port <= 400; ++port, now += milliseconds{5}) {
+        const auto placed = steer(state, opening(port), now);
+        const auto fails = placed.to == 1 && port > 100;
+        failures += fails ? 1 : 0;
+        steer(state, later(port, placed.code, 100), now);
+        auto last = later(port, placed.code, 0, fails ? 600 : 1'500);
+        last.finishes = true;
+        steer(state, last, now + milliseconds{fails ? 2 : 40});
+    }
+    CHECK(failures <= 4);
+}
+
+TEST_CASE("calm: answers of usual length and time eject nobody") {
+    auto state = make_state(5);
+    std::minstd_rand random(7);
+    auto now = start;
+    for (std::uint16_t port = 1; port <= 5'000; ++port) {
+        now += milliseconds{5};
+        serve(state, port, milliseconds{15 + random() % 200},
+              300 + random() % 3'000, now);
+    }
+    for (const auto &it : state.upstreams.all)
+        CHECK(it.seen.ejected_until == time_point{});
+}
+
+TEST_CASE("crowd: when all upstreams hang, most stay in use") {
+    auto state = make_state(10);
+    for (upstream_index i = 0; i < 10; ++i) {
+        for (int n = 0; n < 5; ++n)
+            note_outcome(state.upstreams, i, request_outcome::hanging, start);
+    }
+    std::size_t ejected = 0;
+    for (const auto &it : state.upstreams.all)
+        ejected += is_ejected(it, start) ? 1 : 0;
+    CHECK(ejected == 4);
+}
+
+TEST_CASE("callers that give up leave no load behind") {
+    auto state = make_state(2);
+    for (std::uint16_t port = 1; port <= 50; ++port)
+        steer(state, opening(port), start);
+    sweep_flows(state.flows, state.upstreams, 100, start + milliseconds{130});
+    CHECK(state.upstreams.all[0].seen.open == 0);
+    CHECK(state.upstreams.all[1].seen.open == 0);
+    sweep_flows(state.flows, state.upstreams, 100, start + seconds{5});
+    CHECK(state.flows.all.empty());
+}
+
+TEST_CASE("the table of flows is bounded and full tables still forward") {
+    auto state = make_state(2);
+    state.flows.limit = 3;
+    for (std::uint16_t port = 1; port <= 10; ++port)
+        CHECK(steer(state, opening(port), start).kind == verdict_kind::forward);
+    CHECK(state.flows.all.size() == 3);
+}
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -85,7 +85,8 @@
                   time_point now) -> bool;
 
 /// Marks all upstreams whose identifier is not in `present`, and that are
-/// not newer than `as_of`, as `state`; draining ones as gone. Precondition: `present` is sorted.
+/// not newer than `as_of`, as `state`; draining ones as gone. Precondition:
+/// `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
--- /dev/null
+++ b/src/libdogwoodtrack/carried/upstreams_test.cpp
@@ -0,0 +1,104 @@
+#include <doctest/doctest.h>
+
+#include "test_support.hpp"
+
+using namespace dogwoodtrack;
+using namespace dogwoodtrack::carried;
+using namespace dogwoodtrack::carried::test;
+
+namespace {
+
+auto find(upstream_table &table, const std::string &id) -> upstream & {
+    return table.all[table.by_id.at(id)];
+}
+
+auto deletion_of(const std::string &id, std::uint64_t revision,
+                 upstream_state state) -> upstream_record {
+    return {.id = id,
+            .state = state,
+            .revision = revision,
+            .changed_at = revision + 1};
+}
+
+} // namespace
+
+TEST_CASE("an entry that vanished keeps the address of its upstream") {
+    upstream_table table;
+    const auto record = make_record("i-1", 5);
+    apply_record(table, record, start);
+    for (const auto state : {upstream_state::lapsed, upstream_state::gone}) {
+        apply_record(table, deletion_of("i-1", 6, state), start);
+        auto &it = find(table, "i-1");
+        CHECK(it.record.address == record.address);
+        CHECK(it.record.delivery_id == record.delivery_id);
+        CHECK(it.record.service == bookings);
+        CHECK(find_by_code(table, it.code) == &it);
+        CHECK(it.placeable == (state == upstream_state::lapsed));
+    }
+}
+
+TEST_CASE("an older record changes nothing") {
+    upstream_table table;
+    auto record = make_record("i-1", 9);
+    record.state = upstream_state::draining;
+    apply_record(table, record, start);
+    CHECK_FALSE(apply_record(table, make_record("i-1", 8), start));
+    CHECK_FALSE(find(table, "i-1").placeable);
+}
+
+TEST_CASE("a new incarnation has its own code and the old one stays known") {
+    upstream_table table;
+    apply_record(table, make_record("i-1", 5), start);
+    const auto old_code = find(table, "i-1").code;
+    auto reborn = make_record("i-1", 7);
+    reborn.born = 2'000;
+    apply_record(table, reborn, start);
+    CHECK(find(table, "i-1").code != old_code);
+    REQUIRE(find_by_code(table, old_code) != nullptr);
+    CHECK_FALSE(find_by_code(table, old_code)->placeable);
+    CHECK(table.placeable.at(bookings).size() == 1);
+}
+
+TEST_CASE("of two upstreams with one code the older keeps it, in any order") {
+    for (const auto older_first : {true, false}) {
+        upstream_table table;
+        const auto a = make_record("i-1", 5);
+        auto b = make_record("i-2", 6);
+        b.born = a.born + 1;
+        apply_record(table, older_first ? a : b, start);
+        auto &first = table.all[0];
+        // A collision of 32 bits is made here by hand.
+        table.by_code.erase(first.code);
+        table.by_code[binding_code(older_first ? b : a)] = 0;
+        first.code = binding_code(older_first ? b : a);
+        apply_record(table, older_first ? b : a, start);
+        CHECK(find(table, "i-1").placeable);
+        CHECK_FALSE(find(table, "i-2").placeable);
+    }
+}
+
+TEST_CASE("a lapsed upstream is gone after its grace, a flow's code is not") {
+    upstream_table table;
+    apply_record(table, make_record("i-1", 5), start);
+    retire_missing(table, {}, 8, upstream_state::lapsed, start);
+    const auto code = find(table, "i-1").code;
+    expire_upstreams(table, seconds{60}, start + lapse_grace / 2);
+    CHECK(find(table, "i-1").placeable);
+    expire_upstreams(table, seconds{60}, start + lapse_grace);
+    CHECK_FALSE(find(table, "i-1").placeable);
+    CHECK(find_by_code(table, code) != nullptr);
+    expire_upstreams(table, seconds{60}, start + lapse_grace + seconds{60});
+    CHECK(find_by_code(table, code) == nullptr);
+}
+
+TEST_CASE("a list ends a draining upstream at once and a lapsed one later") {
+    upstream_table table;
+    auto draining = make_record("i-1", 5);
+    draining.state = upstream_state::draining;
+    apply_record(table, draining, start);
+    apply_record(table, make_record("i-2", 6), start);
+    retire_missing(table, {}, 8, upstream_state::lapsed, start);
+    CHECK(find(table, "i-1").record.state == upstream_state::gone);
+    retire_missing(table, {}, 9, upstream_state::gone, start);
+    CHECK(find(table, "i-2").record.state == upstream_state::lapsed);
+}
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -9,9 +9,11 @@
 /// Parts of the time in which changes have to be in force everywhere: a
 /// feed unconfirmed for so long is watched by the next in the order,
 constexpr int takeover_part = 60;
-/// each further rank waits so much longer, so that a store that is away is
-/// asked no more often by a large system,
+/// each further rank waits so much longer,
 constexpr int step_part = 5;
+/// those after these ranks at times of their own, so that a store that is
+/// away is not asked by all of a large system at once,
+constexpr std::size_t steps_max = 6;
 /// changes are gathered before the next watch, all in percent.
 constexpr int gather_part = 20;
 /// A watch waits so long for a change.
@@ -50,8 +52,12 @@
 }
 
 auto takeover_delay(const board &it, std::size_t rank) -> milliseconds {
-    const auto steps = static_cast<int>(rank - watchers);
-    return it.in_force_within * (takeover_part + step_part * steps) / 100;
+    const auto steps = std::min<std::size_t>(rank - watchers, steps_max);
+    auto percent = takeover_part + step_part * static_cast<int>(steps);
+    if (rank - watchers > steps_max)
+        percent +=
+            static_cast<int>(hash_pair(it.members.self.address, 3) % 100);
+    return it.in_force_within * percent / 100;
 }
 
 auto has_duty(board &it, feed what, time_point now) -> bool {
@@ -76,10 +82,9 @@
 
 auto turn_length(const board &it, time_point now) -> milliseconds {
     const auto step = it.in_force_within * step_part / 100;
-    const auto live = std::count_if(
-        it.members.others.begin(), it.members.others.end(),
-        [&](const auto &entry) { return is_live(entry.second, now); });
-    return std::min(step * (live + 1), turn_longest);
+    const auto turns =
+        static_cast<std::int64_t>(count_live(it.members, now)) + 1;
+    return std::min(step * turns, turn_longest);
 }
 
 // Those that should watch try again soon. The others take turns: all
