--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -331,6 +331,7 @@
 auto sorted_ids(const std::vector<upstream_record> &records)
     -> std::vector<std::string> {
     std::vector<std::string> ids;
+    ids.reserve(records.size());
     for (const auto &record : records)
         ids.push_back(record.id);
     std::sort(ids.begin(), ids.end());
--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -19,8 +19,9 @@
 }
 
 // Delivers messages, and what they cause, until nothing is left.
-auto deliver(std::vector<board *> all, std::uint32_t from,
-             std::vector<outgoing> messages, time_point now) -> std::size_t {
+auto deliver(const std::vector<board *> &all, std::uint32_t from,
+             const std::vector<outgoing> &messages, time_point now)
+    -> std::size_t {
     std::size_t n = 0;
     for (const auto &one : messages) {
         for (auto *it : all) {
@@ -37,7 +38,7 @@
     return n;
 }
 
-auto know_each_other(std::vector<board *> all) -> void {
+auto know_each_other(const std::vector<board *> &all) -> void {
     for (auto *a : all) {
         for (auto *b : all)
             note_member(a->members, b->members.self);
@@ -105,6 +106,7 @@
     know_each_other({&a, &b});
     take(a, list_of_configuration(3, 10), start);
     std::vector<upstream_record> many;
+    many.reserve(3'000);
     for (int i = 0; i < 3'000; ++i)
         many.push_back(make_record("i-" + std::to_string(i), 5));
     take(a, list_of_upstreams(many, 10), start);
