carried: operators' port, reload of settings, one HTTP responder

/metrics (Prometheus text, answer times as a histogram) and /status (JSON) on an address of the settings; SIGHUP or a changed file reloads what may change, a bad file is logged and the settings in effect stay.

--- a/src/include/dogwoodtrack/metrics.hpp
+++ b/src/include/dogwoodtrack/metrics.hpp
@@ -13,6 +13,7 @@
     batch_time,    ///< one batch of packets, microseconds
     batch_size,    ///< packets in one batch
     relay_hops,    ///< hops of relayed packets on arrival
+    answer_time,   ///< request to first answer of an upstream, ms
     spread_time,   ///< contract acceptance after its write, milliseconds
     count
 };
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -2,7 +2,6 @@
 
 #include <deque>
 
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -12,6 +11,9 @@
 #include <fmt/format.h>
 
 #include "dogwoodtrack/event_log.hpp"
+#include "http_responder.hpp"
+#include "report.hpp"
+#include "sockets.hpp"
 #include "spread.hpp"
 #include "waiting.hpp"
 #include "watch_duty.hpp"
@@ -32,6 +34,8 @@
 constexpr milliseconds stop_silence{700};
 /// The fabric needs this long to notice that this balancer leaves.
 constexpr milliseconds leave_notice{1'300};
+/// The settings are looked at for changes so often.
+constexpr milliseconds reload_interval{1'000};
 constexpr int receive_buffer = 1 << 19;
 
 struct pending_opening {
@@ -42,11 +46,12 @@
 };
 
 struct context {
-    const balancer_options &options;
+    balancer_options options;
     const packet_format &format;
     store_port &store;
     event_loop &loop;
     board state;
+    metric_set metrics;
     int link = -1;
     int peers = -1;
     waiting_room waiting;
@@ -54,24 +59,15 @@
     time_point next_tick{};
     time_point next_digest{};
     time_point next_waiting{};
+    time_point next_reload{};
     time_point last_packet{};
     time_point stop_asked{};
     bool served = false;
 };
 
-auto socket_address(const endpoint &it) -> sockaddr_in {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(it.port);
-    address.sin_addr.s_addr = htonl(it.address);
-    return address;
-}
-
 auto open_datagram_socket(const endpoint &local) -> result<int> {
     const auto fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
-    const auto address = socket_address(local);
-    const auto *any = reinterpret_cast<const sockaddr *>(&address);
-    if (fd < 0 || bind(fd, any, sizeof address) < 0)
+    if (fd < 0 || !bind_to(fd, local))
         return error{
             error_kind::socket_failed,
             fmt::format("{}: {}", to_string(local), std::strerror(errno))};
@@ -81,14 +77,6 @@
     return fd;
 }
 
-// A datagram that the kernel refuses is lost like one on the way.
-auto send_datagram(int fd, const endpoint &to, const void *data,
-                   std::size_t size) -> void {
-    const auto address = socket_address(to);
-    sendto(fd, data, size, 0, reinterpret_cast<const sockaddr *>(&address),
-           sizeof address);
-}
-
 // ---- packets
 
 auto forward(context &it, std::span<std::uint8_t> packet, const verdict &to,
@@ -355,6 +343,8 @@
     update_position(it, now);
     expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
                      now);
+    for (const auto ms : std::exchange(steering.flows.answers_ms, {}))
+        it.metrics.fill(metric::answer_time, ms);
     sweep_flows(steering.flows, steering.upstreams, sweep_share, now);
 }
 
@@ -383,6 +373,57 @@
     return next;
 }
 
+auto take_options(board &it, const balancer_options &options) -> void {
+    constexpr double thousandths = 1'000;
+    constexpr double capacity_max = 60'000;
+    it.in_force_within = options.in_force_within;
+    it.steering.flows.limit = options.flow_capacity;
+    it.members.self.capacity = static_cast<std::uint16_t>(
+        std::clamp(options.cores * thousandths, 1.0, capacity_max));
+    it.members.seeds.clear();
+    for (const auto &seed : options.seeds)
+        it.members.seeds.push_back(seed.address);
+}
+
+auto make_board(const balancer_options &options, time_point now) -> board {
+    board it;
+    const auto domain = hash_name(options.failure_domain);
+    it.started = now;
+    it.first_start = options.first_start;
+    it.steering.position.failure_domain = domain;
+    it.members.self = {.address = options.peers.address,
+                       .failure_domain = domain,
+                       .heard = now};
+    it.members.port = options.peers.port;
+    it.members.random.seed(options.peers.address);
+    take_options(it, options);
+    return it;
+}
+
+// What may change while the process runs; addresses need a restart.
+auto apply_options(context &it, const balancer_options &next) -> void {
+    it.options.in_force_within = next.in_force_within;
+    it.options.stop_deadline = next.stop_deadline;
+    it.options.flow_lifetime = next.flow_lifetime;
+    it.options.flow_capacity = next.flow_capacity;
+    it.options.cores = next.cores;
+    it.options.seeds = next.seeds;
+    take_options(it.state, it.options);
+    const auto restart = next.link != it.options.link ||
+                         next.peers != it.options.peers ||
+                         next.failure_domain != it.options.failure_domain;
+    log_event(severity::info, "settings_reloaded",
+              {{"needs_restart", restart}});
+}
+
+auto reload_changed(context &it, time_point now) -> void {
+    if (!it.options.reload || now < it.next_reload)
+        return;
+    it.next_reload = now + reload_interval;
+    if (const auto next = it.options.reload())
+        apply_options(it, *next);
+}
+
 // Whether a planned stop is done: the fabric sends nothing here any more.
 auto may_stop(context &it, time_point now) -> bool {
     if (it.stop_asked == time_point{}) {
@@ -400,24 +441,22 @@
     return waited >= leave_notice && now - it.last_packet >= stop_silence;
 }
 
-auto make_board(const balancer_options &options, time_point now) -> board {
-    board it;
-    const auto domain = hash_name(options.failure_domain);
-    it.started = now;
-    it.first_start = options.first_start;
-    it.in_force_within = options.in_force_within;
-    it.steering.position.failure_domain = domain;
-    it.steering.flows.limit = options.flow_capacity;
-    it.members.self = {.address = options.peers.address,
-                       .failure_domain = domain,
-                       .capacity = static_cast<std::uint16_t>(
-                           std::clamp(options.cores * 1000, 1.0, 60'000.0)),
-                       .heard = now};
-    it.members.port = options.peers.port;
-    for (const auto &seed : options.seeds)
-        it.members.seeds.push_back(seed.address);
-    it.members.random.seed(options.peers.address);
-    return it;
+auto open_operator_port(context &it)
+    -> result<std::unique_ptr<http_responder>> {
+    if (it.options.operators.port == 0)
+        return std::unique_ptr<http_responder>{};
+    return http_responder::open(
+        it.options.operators, it.loop, [&it](std::string_view path) {
+            constexpr unsigned not_found = 404;
+            const auto now = monotonic::now();
+            if (path == "/metrics")
+                return http_reply{.body =
+                                      metrics_text(it.state, it.metrics, now)};
+            if (path == "/status")
+                return http_reply{.body = status_json(it.state, now),
+                                  .type = "application/json"};
+            return http_reply{.status = not_found};
+        });
 }
 
 auto serve(context &it, const std::atomic<bool> &stop, std::atomic<bool> &ready)
@@ -428,6 +467,7 @@
         start_store_calls(it, now);
         send_due_digests(it, now);
         tick(it, now);
+        reload_changed(it, now);
         log_first_service(it, now);
         try_waiting_packets(it, now);
         ready = can_serve(it.state) && !it.state.leaving;
@@ -452,12 +492,14 @@
                .store = store,
                .loop = loop,
                .state = make_board(options, now),
+               .metrics = {},
                .waiting = {},
                .openings = {}};
     BOOST_OUTCOME_TRY(it.link, open_datagram_socket(options.link));
     BOOST_OUTCOME_TRY(it.peers, open_datagram_socket(options.peers));
     loop.add(it.link, POLLIN, [](short) {});
     loop.add(it.peers, POLLIN, [&](short) { on_peers(it); });
+    BOOST_OUTCOME_TRY(const auto port, open_operator_port(it));
     log_event(severity::info, "started",
               {{"link", to_string(options.link)},
                {"failure_domain", options.failure_domain}});
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <span>
 
 #include "board.hpp"
@@ -38,6 +39,7 @@
     std::string failure_domain;
     endpoint link;               ///< packets of callers
     endpoint peers;              ///< messages of other balancers
+    endpoint operators;          ///< metrics and status (HTTP), may be absent
     std::vector<endpoint> seeds; ///< any address of some balancers
     double cores = 1;            ///< share of a processor
     bool first_start = false;    ///< the whole system starts now
@@ -46,6 +48,9 @@
     std::size_t flow_capacity = 50'000;
     milliseconds stop_deadline{5'000};
     seconds flow_lifetime{60};
+    /// Called about once a second: new settings, if they changed and are
+    /// valid. May be absent.
+    std::function<std::optional<balancer_options>()> reload;
 };
 
 /// Runs a balancer until `stop` is set and nobody sends packets any more, or
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds opening_kept{3'000};
 /// A request unanswered for this long counts as hanging.
 constexpr milliseconds hanging_after{800};
+constexpr std::size_t answers_kept = 1'024;
 constexpr float service_weight = 0.15F;
 constexpr std::uint32_t served_enough = 4;
 
@@ -36,8 +37,8 @@
     ++seen.served;
 }
 
-auto note_answered(upstream_table &upstreams, flow &it, time_point now)
-    -> void {
+auto note_answered(flow_table &flows, upstream_table &upstreams, flow &it,
+                   time_point now) -> void {
     it.stage = flow_stage::answered;
     if (it.to == no_upstream || it.asked == time_point{})
         return;
@@ -45,6 +46,8 @@
     it.answer_ms = milliseconds_between(it.asked, now);
     note_served(seen, it.answer_ms);
     seen.last_answer = now;
+    if (flows.answers_ms.size() < answers_kept)
+        flows.answers_ms.push_back(it.answer_ms);
 }
 
 auto note_opened(upstream_table &upstreams, flow &it, time_point now) -> void {
@@ -163,7 +166,7 @@
     }
     if (it.stage == flow_stage::requested &&
         head.acknowledged != it.acknowledged)
-        note_answered(upstreams, it, now);
+        note_answered(flows, upstreams, it, now);
     if (head.payload > 0 && it.stage != flow_stage::requested) {
         it.stage = flow_stage::requested;
         it.asked = now;
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -72,7 +72,8 @@
     /// What answers usually look like, by address.
     boost::unordered_flat_map<endpoint, answer_profile, endpoint_hash> usual;
     std::size_t limit = 50'000;
-    std::uint64_t overflowed = 0; ///< flows that found no room
+    std::uint64_t overflowed = 0;  ///< flows that found no room
+    std::vector<float> answers_ms; ///< not yet in the metrics, bounded
 };
 
 /// The flow with these ends, or null.
--- /dev/null
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -0,0 +1,112 @@
+#include "report.hpp"
+
+#include <array>
+#include <iterator>
+
+#include <fmt/format.h>
+
+#include "answers.hpp"
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+using buffer = fmt::memory_buffer;
+
+constexpr std::array feed_names{"configuration", "upstreams"};
+constexpr std::array state_names{"ready", "draining", "lapsed", "gone"};
+
+auto counter(buffer &out, const char *name, std::uint64_t value) -> void {
+    fmt::format_to(std::back_inserter(out),
+                   "# TYPE dogwoodtrack_{0} counter\ndogwoodtrack_{0} {1}\n",
+                   name, value);
+}
+
+auto gauge(buffer &out, const char *name, std::uint64_t value) -> void {
+    fmt::format_to(std::back_inserter(out),
+                   "# TYPE dogwoodtrack_{0} gauge\ndogwoodtrack_{0} {1}\n",
+                   name, value);
+}
+
+auto age_ms(time_point since, time_point now) -> std::int64_t {
+    constexpr std::int64_t never = -1;
+    if (since == time_point{})
+        return never;
+    return std::chrono::duration_cast<milliseconds>(now - since).count();
+}
+
+auto refusals(buffer &out, const board_counters &counters) -> void {
+    fmt::format_to(std::back_inserter(out),
+                   "# TYPE dogwoodtrack_refused_total counter\n");
+    for (std::size_t i = 1; i < counters.refused.size(); ++i)
+        fmt::format_to(std::back_inserter(out),
+                       "dogwoodtrack_refused_total{{why=\"{}\"}} {}\n",
+                       to_string(static_cast<refusal>(i)), counters.refused[i]);
+}
+
+auto feeds(buffer &out, const board &it, time_point now) -> void {
+    for (std::size_t i = 0; i < feed_count; ++i)
+        fmt::format_to(std::back_inserter(out),
+                       "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
+                       "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
+                       feed_names[i], it.versions[i].as_of,
+                       age_ms(it.versions[i].confirmed, now));
+}
+
+auto upstream_object(buffer &out, const upstream &it, time_point now) -> void {
+    fmt::format_to(
+        std::back_inserter(out),
+        R"({{"id":"{}","address":"{}","state":"{}","placeable":{},)"
+        R"("open":{},"service_ms":{:.1f},"unanswered":{},"doubt":{:.1f},)"
+        R"("ejected":{}}})",
+        it.record.id, to_string(it.record.address),
+        state_names[static_cast<std::size_t>(it.record.state)], it.placeable,
+        it.seen.open, it.seen.service_ms, it.seen.unanswered, it.seen.doubt,
+        is_ejected(it, now));
+}
+
+} // namespace
+
+auto metrics_text(const board &it, const metric_set &metrics, time_point now)
+    -> std::string {
+    buffer out;
+    const auto &counters = it.counters;
+    counter(out, "forwarded_total", counters.forwarded);
+    counter(out, "tried_again_total", counters.tried_again);
+    counter(out, "waited_for_state_total", counters.held);
+    counter(out, "malformed_total", counters.malformed);
+    counter(out, "store_calls_total", counters.store_calls);
+    counter(out, "peer_messages_total", counters.peer_messages);
+    counter(out, "flows_not_counted_total", it.steering.flows.overflowed);
+    refusals(out, counters);
+    gauge(out, "flows", it.steering.flows.all.size());
+    gauge(out, "upstreams", it.steering.upstreams.by_id.size());
+    gauge(out, "members", count_live(it.members, now) + 1);
+    feeds(out, it, now);
+    return fmt::to_string(out) + metrics.to_prometheus();
+}
+
+auto status_json(const board &it, time_point now) -> std::string {
+    buffer out;
+    fmt::format_to(std::back_inserter(out),
+                   R"({{"can_serve":{},"leaving":{},"members":{},"feeds":{{)",
+                   can_serve(it), it.leaving, count_live(it.members, now) + 1);
+    for (std::size_t i = 0; i < feed_count; ++i)
+        fmt::format_to(std::back_inserter(out),
+                       R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
+                       i == 0 ? "" : ",", feed_names[i], it.versions[i].as_of,
+                       age_ms(it.versions[i].confirmed, now));
+    fmt::format_to(std::back_inserter(out), R"(}},"upstreams":[)");
+    auto first = true;
+    for (const auto &one : it.steering.upstreams.all) {
+        if (one.record.id.empty())
+            continue;
+        if (!std::exchange(first, false))
+            out.push_back(',');
+        upstream_object(out, one, now);
+    }
+    fmt::format_to(std::back_inserter(out), "]}}\n");
+    return fmt::to_string(out);
+}
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/metrics.cpp
+++ b/src/libdogwoodtrack/metrics.cpp
@@ -24,8 +24,11 @@
 
 constexpr std::array<metric_axis, metric_count> axes{
     metric_axis{"decision_time_ns", 10, 1e7},
-    metric_axis{"batch_time_us", 1, 1e6}, metric_axis{"batch_size", 1, 128},
-    metric_axis{"relay_hops", 1, 16}, metric_axis{"spread_time_ms", 0.1, 1e5}};
+    metric_axis{"batch_time_us", 1, 1e6},
+    metric_axis{"batch_size", 1, 128},
+    metric_axis{"relay_hops", 1, 16},
+    metric_axis{"answer_time_ms", 0.1, 1e5},
+    metric_axis{"spread_time_ms", 0.1, 1e5}};
 
 using axis_type = bh::axis::regular<double, bh::axis::transform::log>;
 using storage_type = bh::dense_storage<bh::accumulators::count<double, true>>;
