--- /dev/null
+++ b/fuzz/carried_peer.cpp
@@ -0,0 +1,19 @@
+#include "carried/spread.hpp"
+
+using namespace dogwoodtrack;
+
+// Any bytes as a message of another balancer.
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t *data,
+                                       std::size_t size) -> int {
+    carried::board board;
+    board.members.self.address = 1;
+    const auto message = carried::decode_peer_message(
+        {reinterpret_cast<const char *>(data), size});
+    if (!message)
+        return 0;
+    std::vector<carried::outgoing> out;
+    constexpr std::uint32_t peer = 2;
+    on_peer_message(board, peer, *message, time_point{std::chrono::hours{1}},
+                    out);
+    return 0;
+}
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -2,6 +2,13 @@
 
 #include <algorithm>
 
+#include <protozero/exception.hpp>
+// A field of another wire type is malformed input, in every build.
+#define protozero_assert(condition)                                            \
+    do {                                                                       \
+        if (!(condition))                                                      \
+            throw protozero::unknown_pbf_wire_type_exception{};                \
+    } while (false)
 #include <protozero/pbf_builder.hpp>
 #include <protozero/pbf_message.hpp>
 
@@ -181,6 +188,13 @@
 
 // ---- reading
 
+// `get_bool` of the library reads past the end of a message that ends with
+// the field's tag.
+template <typename Field>
+auto read_flag(reader<Field> &in) -> bool {
+    return in.get_uint32() != 0;
+}
+
 auto read_member(reader<member_field> in) -> told_member {
     told_member it;
     while (in.next()) {
@@ -195,7 +209,7 @@
             it.member.capacity = static_cast<std::uint16_t>(in.get_uint32());
             break;
         case member_field::leaving:
-            it.member.leaving = in.get_bool();
+            it.member.leaving = read_flag(in);
             break;
         case member_field::age_ms:
             it.age = to_milliseconds(in.get_uint64());
@@ -221,7 +235,7 @@
             it.age = to_milliseconds(in.get_uint64());
             break;
         case version_field::complete:
-            it.complete = in.get_bool();
+            it.complete = read_flag(in);
             break;
         default:
             in.skip();
@@ -354,7 +368,7 @@
             it.members.push_back(read_member(in.get_message()));
             break;
         case digest_field::wants_state:
-            it.wants_state = in.get_bool();
+            it.wants_state = read_flag(in);
             break;
         default:
             in.skip();
--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -220,6 +220,10 @@
     for (std::size_t n = 1; n < buf.size(); ++n)
         decode_peer_message({buf.data(), n});
     CHECK_FALSE(decode_peer_message({"\xff\xff\xff", 3}));
+    // Found by fuzzing: a field of another wire type, and a flag without its
+    // value at the end.
+    CHECK_FALSE(decode_peer_message({"\x88\x00\x01\x25", 4}));
+    CHECK_FALSE(decode_peer_message({"\x0a\x01\x20", 3}));
     records_message wrong;
     wrong.part = 3;
     wrong.parts = 2;
