--- a/src/include/dogwoodtrack/event_log.hpp
+++ b/src/include/dogwoodtrack/event_log.hpp
@@ -30,6 +30,10 @@
 /// Sets up the log of this process. Call before the first line.
 auto open_log(const log_options &options) -> void;
 
+/// Whether lines of this severity are written: ask before making fields for
+/// one on a busy path. Thread safe.
+auto is_logged(severity level) -> bool;
+
 /// Writes one JSON line to standard output: Unix time in ms, level,
 /// instance, event, and the fields. Never blocks: a line that finds no room
 /// is left out, and the next one that does tells how many were. Thread safe.
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -83,19 +83,18 @@
 
 auto log_store_answer(const context &it, const store_answer &answer,
                       bool was_away) -> void {
-    const auto what =
-        answer.what == feed::configuration ? "configuration" : "upstreams";
+    const std::string what(to_string(answer.what));
     if (it.state.store_away)
         log_event(was_away ? severity::debug : severity::warning,
                   "store_unreachable",
-                  {{"feed", std::string(what)},
+                  {{"feed", what},
                    {"outcome", std::string(to_string(answer.outcome))},
                    {"detail", answer.detail}});
     else if (was_away)
         log_event(severity::info, "store_back",
-                  {{"feed", std::string(what)}, {"as_of", answer.as_of}});
+                  {{"feed", what}, {"as_of", answer.as_of}});
     log_event(severity::debug, "store_answer",
-              {{"feed", std::string(what)},
+              {{"feed", what},
                {"outcome", std::string(to_string(answer.outcome))},
                {"as_of", answer.as_of},
                {"records", std::uint64_t{answer.records.size()}}});
@@ -204,7 +203,6 @@
     it.members.self = {.address = options.peers.address,
                        .failure_domain = domain,
                        .heard = now};
-    it.members.port = options.peers.port;
     it.members.random.seed(options.peers.address);
     take_options(it, options);
     return it;
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -42,6 +42,8 @@
 auto note_refusal(context &it, const packet_head &head, const verdict &what)
     -> void {
     ++it.state.counters.refused[static_cast<std::size_t>(what.why)];
+    if (!is_logged(severity::debug))
+        return;
     log_event(severity::debug, "packet_refused",
               {{"why", std::string(to_string(what.why))},
                {"caller", to_string(head.ends.caller)},
@@ -164,11 +166,12 @@
         std::memcpy(packet.data(), pending.bytes.data(), pending.size);
         forward(it, packet, what, true);
         ++it.state.counters.tried_again;
-        log_event(
-            severity::debug, "opening_tried_again",
-            {{"caller", to_string(pending.ends.caller)},
-             {"service", to_string(pending.ends.service)},
-             {"upstream", it.state.steering.upstreams.all[what.to].record.id}});
+        if (is_logged(severity::debug))
+            log_event(severity::debug, "opening_tried_again",
+                      {{"caller", to_string(pending.ends.caller)},
+                       {"service", to_string(pending.ends.service)},
+                       {"upstream",
+                        it.state.steering.upstreams.all[what.to].record.id}});
     }
 }
 
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -19,13 +19,8 @@
 constexpr float speed_floor = 0.15F;
 constexpr float speed_ceiling = 2.0F;
 
-struct service_speed {
-    float mean_ms = 0;
-};
-
 auto mean_service_time(const upstream_table &table,
-                       const std::vector<upstream_index> &list)
-    -> service_speed {
+                       const std::vector<upstream_index> &list) -> float {
     float sum = 0;
     float weight = 0;
     for (const auto index : list) {
@@ -34,18 +29,17 @@
         sum += seen.service_ms * n;
         weight += n;
     }
-    return {.mean_ms = weight > 0 ? sum / weight : 0};
+    return weight > 0 ? sum / weight : 0;
 }
 
-auto speed_of(const upstream &it, const service_speed &service) -> float {
+auto speed_of(const upstream &it, float mean_ms) -> float {
     constexpr float prior = 3;
     const auto &seen = it.seen;
-    if (seen.served == 0 || service.mean_ms <= 0 || seen.service_ms <= 0)
+    if (seen.served == 0 || mean_ms <= 0 || seen.service_ms <= 0)
         return 1;
     const auto n = static_cast<float>(std::min(seen.served, 12U));
-    const auto expected =
-        (seen.service_ms * n + service.mean_ms * prior) / (n + prior);
-    return std::clamp(service.mean_ms / expected, speed_floor, speed_ceiling);
+    const auto expected = (seen.service_ms * n + mean_ms * prior) / (n + prior);
+    return std::clamp(mean_ms / expected, speed_floor, speed_ceiling);
 }
 
 auto is_avoided(const upstream &it, time_point now) -> bool {
@@ -57,11 +51,11 @@
 }
 
 auto load_after_placing(const upstream &it, const choice_position &position,
-                        const service_speed &service, time_point now) -> float {
+                        float mean_ms, time_point now) -> float {
     const auto slots =
         static_cast<float>(std::max<unsigned>(1, it.record.slots));
     auto load =
-        (static_cast<float>(it.seen.open) + 1) / slots / speed_of(it, service);
+        (static_cast<float>(it.seen.open) + 1) / slots / speed_of(it, mean_ms);
     if (now < it.warm_at)
         load *= cold_factor;
     if (it.record.failure_domain != position.failure_domain)
@@ -90,7 +84,7 @@
     if (found == table.placeable.end() || found->second.empty())
         return no_upstream;
     const auto &list = found->second;
-    const auto speed = mean_service_time(table, list);
+    const auto mean_ms = mean_service_time(table, list);
     const auto start = list.size() * position.rank /
                        std::max<std::uint32_t>(1, position.count);
     best_choice best;
@@ -98,7 +92,7 @@
     for (std::size_t i = 0; i < list.size(); ++i) {
         const auto index = list[(start + i) % list.size()];
         const auto &it = table.all[index];
-        const auto load = load_after_placing(it, position, speed, now);
+        const auto load = load_after_placing(it, position, mean_ms, now);
         if (index == except || (is_avoided(it, now) && !trial_is_due(it, now)))
             avoided.offer(index, load);
         else
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -24,6 +24,10 @@
 
 } // namespace
 
+auto to_string(feed what) -> std::string_view {
+    return what == feed::configuration ? "configuration" : "upstreams";
+}
+
 auto note_member(fleet &it, const fleet_member &seen) -> void {
     if (seen.address == it.self.address || seen.address == 0)
         return;
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <random>
+#include <string_view>
 #include <vector>
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -12,6 +13,9 @@
 
 /// The two kinds of state that come from the store and spread over peers.
 enum class feed : std::uint8_t { configuration, upstreams, count };
+/// Name of a feed in logs and metrics. Thread safe.
+auto to_string(feed what) -> std::string_view;
+
 inline constexpr auto feed_count = static_cast<std::size_t>(feed::count);
 
 /// How far one feed is known.
@@ -22,8 +26,7 @@
     bool complete = false;     ///< the whole feed was read once
 };
 
-/// One balancer as heard of. Its address identifies it; the port is the
-/// same on all.
+/// One balancer as heard of. Its address identifies it; all use one port.
 struct fleet_member {
     std::uint32_t address = 0;
     std::uint32_t failure_domain = 0;
@@ -35,7 +38,6 @@
 /// The balancers of the system as this one knows them. One thread at a time.
 struct fleet {
     fleet_member self;
-    std::uint16_t port = 0;
     std::vector<std::uint32_t> seeds;
     boost::unordered_flat_map<std::uint32_t, fleet_member> others;
     std::minstd_rand random;
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -47,8 +47,6 @@
     bool counted = false; ///< counts as open at its upstream
     bool hung = false;    ///< was reported as hanging
     std::uint8_t tries = 0;
-    std::uint8_t priority = 0;
-    std::uint32_t first_code = 0;   ///< of the first upstream tried
     std::uint32_t acknowledged = 0; ///< when the request was sent
     float answer_ms = 0;            ///< from the request to its first answer
     time_point sent{};              ///< last opening packet forwarded
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -13,7 +13,6 @@
 
 using buffer = fmt::memory_buffer;
 
-constexpr std::array feed_names{"configuration", "upstreams"};
 constexpr std::array state_names{"ready", "draining", "lapsed", "gone"};
 
 auto counter(buffer &out, const char *name, std::uint64_t value) -> void {
@@ -49,7 +48,7 @@
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
                        "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
-                       feed_names[i], it.versions[i].as_of,
+                       to_string(static_cast<feed>(i)), it.versions[i].as_of,
                        age_ms(it.versions[i].confirmed, now));
 }
 
@@ -94,7 +93,8 @@
     for (std::size_t i = 0; i < feed_count; ++i)
         fmt::format_to(std::back_inserter(out),
                        R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
-                       i == 0 ? "" : ",", feed_names[i], it.versions[i].as_of,
+                       i == 0 ? "" : ",", to_string(static_cast<feed>(i)),
+                       it.versions[i].as_of,
                        age_ms(it.versions[i].confirmed, now));
     fmt::format_to(std::back_inserter(out), R"(}},"upstreams":[)");
     auto first = true;
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -71,11 +71,17 @@
     return records;
 }
 
+auto send_parts(const std::vector<records_message> &parts, std::uint32_t to,
+                std::vector<outgoing> &out) -> void {
+    for (const auto &part : parts)
+        out.push_back({.to = to, .message = part});
+}
+
 auto send_records(const board &it, std::uint32_t to, std::uint64_t since,
                   time_point now, std::vector<outgoing> &out) -> void {
     const auto version = tell(version_of(it, feed::upstreams), now);
-    for (auto &part : split_records(records_since(it, since), since, version))
-        out.push_back({.to = to, .message = std::move(part)});
+    send_parts(split_records(records_since(it, since), since, version), to,
+               out);
 }
 
 auto send_routes(const board &it, std::uint32_t to, time_point now,
@@ -98,25 +104,29 @@
         send_records(it, to, since, now, out);
 }
 
+auto peers_for_news(board &it, std::uint32_t except, time_point now)
+    -> std::vector<std::uint32_t> {
+    auto peers = random_peers(it.members, fanout, fanout / 2 + 1, now);
+    std::erase(peers, except);
+    return peers;
+}
+
 auto offer(board &it, std::uint32_t except, time_point now,
            std::vector<outgoing> &out) -> void {
-    for (const auto to :
-         random_peers(it.members, fanout, fanout / 2 + 1, now)) {
-        if (to != except)
-            out.push_back({.to = to, .message = make_digest(it, 0, now)});
-    }
+    for (const auto to : peers_for_news(it, except, now))
+        out.push_back({.to = to, .message = make_digest(it, 0, now)});
 }
 
 // New records travel at once to a few peers, which pass them on.
 auto pass_on_records(board &it, std::uint64_t since, std::uint32_t except,
                      time_point now, std::vector<outgoing> &out) -> void {
-    if (records_since(it, since).size() > pushed_records_max)
+    const auto records = records_since(it, since);
+    if (records.size() > pushed_records_max)
         return offer(it, except, now, out);
-    for (const auto to :
-         random_peers(it.members, fanout, fanout / 2 + 1, now)) {
-        if (to != except)
-            send_records(it, to, since, now, out);
-    }
+    const auto version = tell(version_of(it, feed::upstreams), now);
+    const auto parts = split_records(records, since, version);
+    for (const auto to : peers_for_news(it, except, now))
+        send_parts(parts, to, out);
 }
 
 // ---- digests
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -41,10 +41,7 @@
     known->stage = flow_stage::opening;
     known->sent = now;
     known->last = now;
-    known->priority = route.priority;
     ++known->tries;
-    if (known->first_code == 0)
-        known->first_code = known->code;
     return forward_to(state, to);
 }
 
@@ -53,10 +50,6 @@
     it = {};
 }
 
-auto may_get_flows(const steering_state &state, upstream_index index) -> bool {
-    return state.upstreams.all[index].placeable;
-}
-
 auto steer_opening(steering_state &state, const packet_head &head,
                    time_point now) -> verdict {
     if (!state.in_force)
@@ -73,7 +66,8 @@
         return place(state, head, *route, known, now);
     if (known->stage != flow_stage::opening)
         return forward_to(state, known->to);
-    if (answered_since(state, *known) && may_get_flows(state, known->to)) {
+    if (answered_since(state, *known) &&
+        state.upstreams.all[known->to].placeable) {
         known->sent = now;
         known->last = now;
         return forward_to(state, known->to);
--- a/src/libdogwoodtrack/event_log.cpp
+++ b/src/libdogwoodtrack/event_log.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodtrack/event_log.hpp"
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <iterator>
 #include <mutex>
@@ -19,6 +20,7 @@
 
 struct log_state {
     std::mutex mutex;
+    std::atomic<severity> least{severity::info};
     log_options options;
     std::int64_t second = 0;
     std::size_t lines = 0;
@@ -102,14 +104,19 @@
 auto open_log(const log_options &options) -> void {
     const std::lock_guard lock(state().mutex);
     state().options = options;
+    state().least = options.least;
+}
+
+auto is_logged(severity level) -> bool {
+    return level >= state().least.load(std::memory_order_relaxed);
 }
 
 auto log_event(severity level, std::string_view event,
                std::initializer_list<log_field> fields) -> void {
+    if (!is_logged(level))
+        return;
     auto &it = state();
     const std::lock_guard lock(it.mutex);
-    if (level < it.options.least)
-        return;
     const auto now_ms = unix_milliseconds();
     if (!has_room(it, now_ms)) {
         ++it.left_out;
--- a/src/libdogwoodtrack/link.cpp
+++ b/src/libdogwoodtrack/link.cpp
@@ -8,20 +8,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "sockets.hpp"
+
 namespace dogwoodtrack {
 
 namespace {
 
 constexpr int socket_buffer_bytes = 8 << 20;
 
-auto to_sockaddr(const endpoint &value) -> sockaddr_in {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(value.port);
-    address.sin_addr.s_addr = htonl(value.address);
-    return address;
-}
-
 auto from_sockaddr(const sockaddr_in &address) -> endpoint {
     return {.address = ntohl(address.sin_addr.s_addr),
             .port = ntohs(address.sin_port)};
@@ -71,7 +65,7 @@
                  sizeof socket_buffer_bytes);
     ::setsockopt(s->fd, SOL_SOCKET, SO_RCVBUFFORCE, &socket_buffer_bytes,
                  sizeof socket_buffer_bytes);
-    const auto address = to_sockaddr(local);
+    const auto address = socket_address(local);
     if (::bind(s->fd, reinterpret_cast<const sockaddr *>(&address),
                sizeof address) != 0)
         return socket_error("bind", local);
@@ -122,7 +116,7 @@
 auto link::send(const endpoint &to, std::span<const std::uint8_t> outer)
     -> void {
     auto &s = *state_;
-    s.targets[s.queued] = to_sockaddr(to);
+    s.targets[s.queued] = socket_address(to);
     s.send_vectors[s.queued] = {.iov_base =
                                     const_cast<std::uint8_t *>(outer.data()),
                                 .iov_len = outer.size()};
--- a/src/libdogwoodtrack/carried/sockets.cpp
+++ b/src/libdogwoodtrack/sockets.cpp
@@ -3,7 +3,7 @@
 #include <cerrno>
 #include <sys/socket.h>
 
-namespace dogwoodtrack::carried {
+namespace dogwoodtrack {
 
 auto socket_address(const endpoint &it) -> sockaddr_in {
     sockaddr_in address{};
@@ -33,4 +33,4 @@
            sizeof address);
 }
 
-} // namespace dogwoodtrack::carried
+} // namespace dogwoodtrack
--- a/src/libdogwoodtrack/carried/sockets.hpp
+++ b/src/libdogwoodtrack/sockets.hpp
@@ -4,7 +4,7 @@
 
 #include "dogwoodtrack/types.hpp"
 
-namespace dogwoodtrack::carried {
+namespace dogwoodtrack {
 
 /// The kernel's form of an endpoint. Thread safe.
 auto socket_address(const endpoint &it) -> sockaddr_in;
@@ -21,4 +21,4 @@
 auto send_datagram(int fd, const endpoint &to, const void *data,
                    std::size_t size) -> void;
 
-} // namespace dogwoodtrack::carried
+} // namespace dogwoodtrack
