answers: the balancers of a failure domain find failing upstreams together

Each of 71 balancers had to meet three failures of an upstream itself; and errors were not told from good answers, because their time held the way to upstream and caller and back (8.3 ms, with answers usually at 33 ms), while the upstream looked fast and drew work.

Change: one balancer of a domain judges the upstreams of a service; the others tell it what they met at upstreams that failed some requests, and it tells the domain whom it ejected. After an ejection the judge tries first, and single trial flows go there until enough were answered. Time of an answer is counted beyond the way, learned from handshakes; errors do not count as served; answers on flows with several requests are judged at the next request. A request hangs after ten times the usual time. Many upstreams in doubt mean a crowd: none is ejected. upstream_ejected is logged.

--- a/src/dogwoodtrack-scenario/main.cpp
+++ b/src/dogwoodtrack-scenario/main.cpp
@@ -80,6 +80,7 @@
         {"kill", model::fault_kind::kill_balancers},
         {"store", model::fault_kind::store_away},
         {"crash", model::fault_kind::crash_upstreams},
+        {"hang", model::fault_kind::hang_upstreams},
         {"errors", model::fault_kind::fail_upstreams},
         {"drain", model::fault_kind::drain_upstreams},
         {"cut", model::fault_kind::cut_domain},
@@ -129,7 +130,7 @@
     play->add_option("--length", it.length_s, "Seconds of traffic")
         ->capture_default_str();
     play->add_option("--fault", it.faults,
-                     "kill, store, crash, errors, drain, cut or "
+                     "kill, store, crash, errors, hang, drain, cut or "
                      "configuration, as KIND@SECOND+LASTS*SHARE");
     return play;
 }
--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -18,12 +18,14 @@
 constexpr float failure_doubt = 1.0F;
 constexpr float answer_relief = 0.4F;
 constexpr float doubt_limit = 2.9F;
-/// After an ejection one more failure is enough.
+/// After an ejection one more failure is enough, and answers count less.
 constexpr float doubt_kept = 2.0F;
+constexpr float probation_relief = 0.25F;
+constexpr float probation_doubt = 1.0F;
 constexpr milliseconds first_ejection{3'000};
 constexpr milliseconds longest_ejection{24'000};
 constexpr std::uint8_t doublings_max = 3;
-constexpr double ejected_share_max = 0.4;
+constexpr double doubted_share_max = 0.4;
 
 auto learn(answer_profile &usual, const answer_seen &answer) -> void {
     const auto weight =
@@ -35,18 +37,17 @@
 
 // When many look ill, the load or the network is, and nobody is better off
 // with fewer upstreams.
-auto may_eject_one_more(const upstream_table &table, service_key service,
-                        time_point now) -> bool {
+auto may_eject(const upstream_table &table, service_key service) -> bool {
     const auto found = table.placeable.find(service);
     if (found == table.placeable.end())
         return false;
     const auto &list = found->second;
-    const auto ejected =
+    const auto doubted =
         std::count_if(list.begin(), list.end(), [&](upstream_index index) {
-            return is_ejected(table.all[index], now);
+            return table.all[index].seen.doubt >= failure_doubt;
         });
-    return static_cast<double>(ejected + 1) <=
-           ejected_share_max * static_cast<double>(list.size());
+    return static_cast<double>(doubted) <=
+           doubted_share_max * static_cast<double>(list.size());
 }
 
 auto eject(upstream_observations &seen, time_point now) -> void {
@@ -60,13 +61,24 @@
 
 } // namespace
 
+auto learn_way(answer_profile &usual, float handshake_ms) -> void {
+    constexpr float weight = 0.1F;
+    if (usual.way_ms == 0)
+        usual.way_ms = handshake_ms;
+    else
+        usual.way_ms += weight * (handshake_ms - usual.way_ms);
+}
+
+auto is_learned(const answer_profile &usual) -> bool {
+    return usual.seen >= learned_after;
+}
+
 auto looks_like_error(answer_profile &usual, const answer_seen &answer)
     -> bool {
     const auto soon = answer.ms < soon_part * usual.ms;
     const auto small = answer.bytes < short_part * usual.bytes;
     const auto tiny = answer.bytes < tiny_part * usual.bytes;
-    const auto judged = usual.seen >= learned_after;
-    if (judged && ((soon && small) || tiny))
+    if (is_learned(usual) && ((soon && small) || tiny))
         return true;
     learn(usual, answer);
     return false;
@@ -74,23 +86,47 @@
 
 auto note_outcome(upstream_table &table, upstream_index index,
                   request_outcome outcome, time_point now) -> void {
-    auto &it = table.all[index];
-    auto &seen = it.seen;
+    auto &untold = table.all[index].seen.untold;
     if (outcome == request_outcome::answered) {
-        seen.doubt = std::max(0.0F, seen.doubt - answer_relief);
-        if (seen.doubt == 0)
-            seen.ejections = 0;
-        return;
+        ++untold.answers;
+        return take_outcomes(table, index, {.answers = 1}, now);
     }
-    seen.doubt += failure_doubt;
-    if (seen.doubt < doubt_limit || is_ejected(it, now) ||
-        !may_eject_one_more(table, it.record.service, now))
+    if (untold.failures == 0)
+        table.failing.push_back(index);
+    ++untold.failures;
+    take_outcomes(table, index, {.failures = 1}, now);
+}
+
+auto take_outcomes(upstream_table &table, upstream_index index,
+                   const outcome_counts &counts, time_point now) -> void {
+    auto &it = table.all[index];
+    auto &seen = it.seen;
+    const auto relief = seen.ejections > 0 ? probation_relief : answer_relief;
+    seen.doubt = std::max(
+        0.0F, seen.doubt - relief * static_cast<float>(counts.answers));
+    if (seen.doubt == 0)
+        seen.ejections = 0;
+    seen.doubt += failure_doubt * static_cast<float>(counts.failures);
+    if (counts.failures == 0 || seen.doubt < doubt_limit ||
+        is_ejected(it, now) || !may_eject(table, it.record.service))
         return;
     eject(seen, now);
+    table.ejected.push_back(index);
+}
+
+auto eject_as_told(upstream &it, milliseconds left, std::uint8_t ejections,
+                   time_point now) -> void {
+    it.seen.ejected_until = std::max(it.seen.ejected_until, now + left);
+    it.seen.ejections = std::max(it.seen.ejections, ejections);
+    it.seen.doubt = doubt_kept;
 }
 
 auto is_ejected(const upstream &it, time_point now) -> bool {
     return now < it.seen.ejected_until;
 }
 
+auto is_on_probation(const upstream &it) -> bool {
+    return it.seen.ejections > 0 && it.seen.doubt > probation_doubt;
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/answers.hpp
+++ b/src/libdogwoodtrack/carried/answers.hpp
@@ -6,7 +6,8 @@
 
 /// What the callers' packets tell of one answer.
 struct answer_seen {
-    float ms = 0;    ///< from the request to the first bytes of the answer
+    float ms = 0;    ///< from the request to the first bytes of the answer,
+                     ///< without the way to the upstream and the caller
     float bytes = 0; ///< of the whole answer, as acknowledged
 };
 
@@ -15,8 +16,15 @@
     float ms = 0;
     float bytes = 0;
     std::uint32_t seen = 0;
+    float way_ms = 0; ///< to the upstream and the caller and back here
 };
 
+/// Learns the length of the way from one handshake on this address.
+auto learn_way(answer_profile &usual, float handshake_ms) -> void;
+
+/// Whether enough answers were seen to judge others by the profile.
+auto is_learned(const answer_profile &usual) -> bool;
+
 /// Whether an answer looks like an error: far sooner and shorter than those
 /// on this address usually are. Health checks do not show such upstreams.
 /// Usual answers are learned; nothing is judged before enough were seen.
@@ -25,13 +33,26 @@
 /// How a request at an upstream ended, as far as its caller's packets tell.
 enum class request_outcome : std::uint8_t { answered, error, hanging };
 
-/// Takes note of an outcome. An upstream with many failures among its last
-/// requests is ejected for a while, longer each time, as long as most
-/// upstreams of its service are not.
+/// Takes note of what a flow of this instance met, see `take_outcomes`.
 auto note_outcome(upstream_table &table, upstream_index index,
                   request_outcome outcome, time_point now) -> void;
 
+/// Takes outcomes that this instance or another one counted. An upstream
+/// with many failures among its last requests is ejected for a while, longer
+/// each time, unless many upstreams of its service are in doubt.
+auto take_outcomes(upstream_table &table, upstream_index index,
+                   const outcome_counts &counts, time_point now) -> void;
+
+/// An upstream that another instance ejected, for `left`, as its
+/// `ejections`-th time in a row.
+auto eject_as_told(upstream &it, milliseconds left, std::uint8_t ejections,
+                   time_point now) -> void;
+
 /// Whether the upstream was ejected for failing requests.
 auto is_ejected(const upstream &it, time_point now) -> bool;
 
+/// Whether the upstream was ejected and has not answered enough requests
+/// since. It gets single trial flows only.
+auto is_on_probation(const upstream &it) -> bool;
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -11,6 +11,7 @@
 #include "dogwoodtrack/event_log.hpp"
 #include "http_responder.hpp"
 #include "report.hpp"
+#include "shared_outcomes.hpp"
 #include "sockets.hpp"
 #include "spread.hpp"
 #include "watch_duty.hpp"
@@ -141,6 +142,27 @@
          {"waiting", std::uint64_t{it.waiting.all.size()}}});
 }
 
+auto log_ejections(const context &it, time_point now) -> void {
+    const auto &upstreams = it.state.steering.upstreams;
+    for (const auto index : upstreams.ejected) {
+        const auto &one = upstreams.all[index];
+        const auto left =
+            std::chrono::ceil<milliseconds>(one.seen.ejected_until - now);
+        log_event(severity::info, "upstream_ejected",
+                  {{"upstream", one.record.id},
+                   {"address", to_string(one.record.address)},
+                   {"for_ms", std::int64_t{left.count()}},
+                   {"in_a_row", std::uint64_t{one.seen.ejections}}});
+    }
+}
+
+auto tell_outcomes(context &it, time_point now) -> void {
+    log_ejections(it, now);
+    std::vector<outgoing> out;
+    share_outcomes(it.state, now, out);
+    send_all(it, out);
+}
+
 auto tick(context &it, time_point now) -> void {
     if (now < it.next_tick)
         return;
@@ -155,6 +177,7 @@
     for (const auto ms : std::exchange(steering.flows.answers_ms, {}))
         it.metrics.fill(metric::answer_time, ms);
     sweep_flows(steering.flows, steering.upstreams, sweep_share, now);
+    tell_outcomes(it, now);
 }
 
 auto send_due_digests(context &it, time_point now) -> void {
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -43,7 +43,8 @@
 }
 
 auto is_avoided(const upstream &it, time_point now) -> bool {
-    return now < it.seen.avoid_until || is_ejected(it, now);
+    return now < it.seen.avoid_until || is_ejected(it, now) ||
+           is_on_probation(it);
 }
 
 auto trial_is_due(const upstream &it, time_point now) -> bool {
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -11,15 +11,25 @@
 constexpr milliseconds silence_most{30'000};
 constexpr int kept_limits = 6;
 
-// Capacities within a factor of two are alike; the rest is spread by hash,
-// so that the first in the order are not all of one failure domain.
-auto watches_before(const fleet_member &a, const fleet_member &b) -> bool {
-    const auto large = [](const fleet_member &it) {
-        return it.capacity >= 400 ? 2 : it.capacity >= 80 ? 1 : 0;
-    };
-    if (large(a) != large(b))
-        return large(a) > large(b);
-    return hash_pair(a.address, 1) < hash_pair(b.address, 1);
+constexpr std::uint16_t large_capacity = 400;
+constexpr std::uint16_t middle_capacity = 80;
+/// Purpose of the order in which balancers watch the store.
+constexpr std::uint64_t watching = 1;
+
+auto size_class(const fleet_member &it) -> int {
+    if (it.capacity >= large_capacity)
+        return 2;
+    return it.capacity >= middle_capacity ? 1 : 0;
+}
+
+// Capacities of one class are alike; the rest is spread by hash, so that the
+// first in the order are not all of one failure domain, nor the same for
+// every purpose.
+auto comes_before(const fleet_member &a, const fleet_member &b,
+                  std::uint64_t purpose) -> bool {
+    if (size_class(a) != size_class(b))
+        return size_class(a) > size_class(b);
+    return hash_pair(a.address, purpose) < hash_pair(b.address, purpose);
 }
 
 } // namespace
@@ -109,15 +119,31 @@
         it.others.begin(), it.others.end(), [&](const auto &entry) {
             const auto &other = entry.second;
             return is_live(it, other, now) && !other.leaving &&
-                   (it.self.leaving || watches_before(other, it.self));
+                   (it.self.leaving || comes_before(other, it.self, watching));
         }));
 }
 
+auto first_in_domain(const fleet &it, std::uint64_t purpose, time_point now)
+    -> std::uint32_t {
+    const auto *first = &it.self;
+    for (const auto &[address, member] : it.others) {
+        if (serves_own_domain(it, member, now) &&
+            comes_before(member, *first, purpose))
+            first = &member;
+    }
+    return first->address;
+}
+
+auto serves_own_domain(const fleet &it, const fleet_member &member,
+                       time_point now) -> bool {
+    return member.failure_domain == it.self.failure_domain && !member.leaving &&
+           is_live(it, member, now);
+}
+
 auto rank_in_domain(const fleet &it, time_point now) -> domain_rank {
     domain_rank own;
     for (const auto &[address, member] : it.others) {
-        if (member.failure_domain != it.self.failure_domain ||
-            !is_live(it, member, now) || member.leaving)
+        if (!serves_own_domain(it, member, now))
             continue;
         ++own.count;
         if (address < it.self.address)
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -75,6 +75,16 @@
 /// store: larger ones first, and live ones only.
 auto watch_rank(const fleet &it, time_point now) -> std::size_t;
 
+/// Address of the live balancer of the own failure domain that comes first
+/// in an order of `purpose`, larger ones before smaller ones. All that know
+/// the same live members get the same.
+auto first_in_domain(const fleet &it, std::uint64_t purpose, time_point now)
+    -> std::uint32_t;
+
+/// Whether the member is a live one of the own failure domain that stays.
+auto serves_own_domain(const fleet &it, const fleet_member &member,
+                       time_point now) -> bool;
+
 /// Rank of this balancer among the live ones of its failure domain, and
 /// their number.
 struct domain_rank {
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -17,8 +17,11 @@
 constexpr milliseconds silent_kept{20'000};
 /// An opening without an answer is dropped.
 constexpr milliseconds opening_kept{3'000};
-/// A request unanswered for this long counts as hanging.
-constexpr milliseconds hanging_after{800};
+/// A request unanswered for so many times the usual time counts as hanging,
+constexpr float hanging_factor = 10;
+constexpr milliseconds hanging_least{350};
+/// or after this time while the usual time is unknown.
+constexpr milliseconds hanging_unknown{1'500};
 constexpr std::size_t answers_kept = 1'024;
 constexpr float service_weight = 0.15F;
 constexpr std::uint32_t served_enough = 4;
@@ -37,42 +40,44 @@
     ++seen.served;
 }
 
-auto note_answered(flow_table &flows, upstream_table &upstreams, flow &it,
-                   time_point now) -> void {
+auto note_answered(upstream_table &upstreams, flow &it, time_point now)
+    -> void {
     it.stage = flow_stage::answered;
     if (it.to == no_upstream || it.asked == time_point{})
         return;
-    auto &seen = upstreams.all[it.to].seen;
     it.answer_ms = milliseconds_between(it.asked, now);
-    note_served(seen, it.answer_ms);
-    seen.last_answer = now;
-    if (flows.answers_ms.size() < answers_kept)
-        flows.answers_ms.push_back(it.answer_ms);
+    upstreams.all[it.to].seen.last_answer = now;
 }
 
-auto note_opened(upstream_table &upstreams, flow &it, time_point now) -> void {
+auto note_opened(flow_table &flows, upstream_table &upstreams, flow &it,
+                 const endpoint &service, time_point now) -> void {
     it.stage = flow_stage::open;
     if (it.to == no_upstream)
         return;
+    if (it.tries == 1)
+        learn_way(flows.usual[service], milliseconds_between(it.sent, now));
     count_flow(upstreams, it);
     auto &seen = upstreams.all[it.to].seen;
     seen.unanswered = 0;
     seen.last_answer = now;
 }
 
-// The whole answer is known when the caller closes the flow.
+// The whole answer is known when the caller closes the flow or asks again.
 auto judge_answer(flow_table &flows, upstream_table &upstreams, const flow &it,
                   const packet_head &head, time_point now) -> void {
     if (it.stage != flow_stage::answered || it.to == no_upstream ||
         it.asked == time_point{})
         return;
+    auto &usual = flows.usual[head.ends.service];
     const answer_seen answer{
-        .ms = it.answer_ms,
+        .ms = std::max(0.0F, it.answer_ms - usual.way_ms),
         .bytes = static_cast<float>(head.acknowledged - it.acknowledged)};
-    const auto error = looks_like_error(flows.usual[head.ends.service], answer);
-    note_outcome(upstreams, it.to,
-                 error ? request_outcome::error : request_outcome::answered,
-                 now);
+    if (looks_like_error(usual, answer))
+        return note_outcome(upstreams, it.to, request_outcome::error, now);
+    note_outcome(upstreams, it.to, request_outcome::answered, now);
+    note_served(upstreams.all[it.to].seen, it.answer_ms);
+    if (flows.answers_ms.size() < answers_kept)
+        flows.answers_ms.push_back(it.answer_ms);
 }
 
 auto close_flow(upstream_table &upstreams, flow &it) -> void {
@@ -88,13 +93,26 @@
     return silent_kept;
 }
 
-auto inspect(upstream_table &upstreams, flow &it, time_point now) -> void {
+auto hanging_after(const flow_table &flows, const endpoint &service)
+    -> milliseconds {
+    const auto found = flows.usual.find(service);
+    if (found == flows.usual.end() || !is_learned(found->second))
+        return hanging_unknown;
+    const auto &usual = found->second;
+    const auto ms =
+        static_cast<std::int64_t>(usual.way_ms + usual.ms * hanging_factor);
+    return std::max(hanging_least, milliseconds{ms});
+}
+
+auto inspect(flow_table &flows, upstream_table &upstreams,
+             const flow_ends &ends, flow &it, time_point now) -> void {
     if (it.stage == flow_stage::answered && now - it.last >= answered_idle)
         uncount_flow(upstreams, it);
     if (it.stage == flow_stage::opening && now - it.sent >= opening_counted)
         uncount_flow(upstreams, it);
     if (it.stage != flow_stage::requested || it.hung ||
-        now - it.asked < hanging_after)
+        now - it.asked < hanging_least ||
+        now - it.asked < hanging_after(flows, ends.service))
         return;
     it.hung = true;
     uncount_flow(upstreams, it);
@@ -161,13 +179,14 @@
     if (it.stage == flow_stage::closed)
         return;
     if (it.stage == flow_stage::opening) {
-        note_opened(upstreams, it, now);
+        note_opened(flows, upstreams, it, head.ends.service, now);
         it.acknowledged = head.acknowledged;
     }
     if (it.stage == flow_stage::requested &&
         head.acknowledged != it.acknowledged)
-        note_answered(flows, upstreams, it, now);
+        note_answered(upstreams, it, now);
     if (head.payload > 0 && it.stage != flow_stage::requested) {
+        judge_answer(flows, upstreams, it, head, now);
         it.stage = flow_stage::requested;
         it.asked = now;
         it.hung = false;
@@ -190,7 +209,7 @@
         if (found == flows.all.end())
             continue;
         auto &it = found->second;
-        inspect(upstreams, it, now);
+        inspect(flows, upstreams, ends, it, now);
         if (now - it.last < time_kept(it)) {
             flows.sweep_order.push_back(ends);
             continue;
--- a/src/libdogwoodtrack/carried/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/peer_fields.hpp
@@ -21,7 +21,9 @@
     digest = 1,
     pull = 2,
     records = 3,
-    routes = 4
+    routes = 4,
+    outcomes = 5,
+    ejections = 6
 };
 enum class member_field : protozero::pbf_tag_type {
     address = 1,
@@ -76,6 +78,17 @@
     timeout_ms = 6,
     service = 7
 };
+enum class list_field : protozero::pbf_tag_type { item = 1 };
+enum class outcome_field : protozero::pbf_tag_type {
+    code = 1,
+    failures = 2,
+    answers = 3
+};
+enum class ejection_field : protozero::pbf_tag_type {
+    code = 1,
+    left_ms = 2,
+    ejections = 3
+};
 enum class weight_field : protozero::pbf_tag_type { service = 1, weight = 2 };
 
 template <typename Field>
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -101,6 +101,28 @@
         write({out, batch_field::item}, route);
 }
 
+auto write_body(builder<envelope_field> &envelope, const outcomes_message &it)
+    -> void {
+    builder<list_field> out(envelope, envelope_field::outcomes);
+    for (const auto &one : it.items) {
+        builder<outcome_field> to(out, list_field::item);
+        to.add_fixed32(outcome_field::code, one.code);
+        to.add_uint32(outcome_field::failures, one.counts.failures);
+        to.add_uint32(outcome_field::answers, one.counts.answers);
+    }
+}
+
+auto write_body(builder<envelope_field> &envelope, const ejections_message &it)
+    -> void {
+    builder<list_field> out(envelope, envelope_field::ejections);
+    for (const auto &one : it.items) {
+        builder<ejection_field> to(out, list_field::item);
+        to.add_fixed32(ejection_field::code, one.code);
+        to.add_uint64(ejection_field::left_ms, to_count(one.left));
+        to.add_uint32(ejection_field::ejections, one.ejections);
+    }
+}
+
 // Gives each message so many items that it stays under the datagram limit.
 template <typename Message, typename Item>
 auto split(const std::vector<Item> &items, const Message &empty,
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -56,8 +56,38 @@
     std::uint32_t parts = 1;
 };
 
+/// What the sender's flows met at one upstream since it last told.
+struct told_outcome {
+    std::uint32_t code = 0;
+    outcome_counts counts;
+};
+
+/// For the judge of these upstreams in the sender's failure domain.
+struct outcomes_message {
+    std::vector<told_outcome> items;
+};
+
+/// An upstream that its judge has ejected.
+struct told_ejection {
+    std::uint32_t code = 0;
+    milliseconds left{0};
+    std::uint8_t ejections = 0;
+};
+
+/// For the failure domain of the judge.
+struct ejections_message {
+    std::vector<told_ejection> items;
+};
+
 using peer_message =
-    std::variant<digest_message, pull_message, records_message, routes_message>;
+    std::variant<digest_message, pull_message, records_message, routes_message,
+                 outcomes_message, ejections_message>;
+
+/// A message on its way to a peer.
+struct outgoing {
+    std::uint32_t to = 0; ///< address of the balancer
+    peer_message message;
+};
 
 /// Largest datagram between balancers, bytes.
 inline constexpr std::size_t peer_datagram_limit = 1'300;
--- a/src/libdogwoodtrack/carried/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages_read.cpp
@@ -278,6 +278,59 @@
     return it;
 }
 
+auto read_outcome(reader<outcome_field> in) -> told_outcome {
+    told_outcome it;
+    while (in.next()) {
+        switch (in.tag()) {
+        case outcome_field::code:
+            it.code = in.get_fixed32();
+            break;
+        case outcome_field::failures:
+            it.counts.failures = in.get_uint32();
+            break;
+        case outcome_field::answers:
+            it.counts.answers = in.get_uint32();
+            break;
+        default:
+            in.skip();
+        }
+    }
+    return it;
+}
+
+auto read_ejection(reader<ejection_field> in) -> told_ejection {
+    told_ejection it;
+    while (in.next()) {
+        switch (in.tag()) {
+        case ejection_field::code:
+            it.code = in.get_fixed32();
+            break;
+        case ejection_field::left_ms:
+            it.left = to_milliseconds(in.get_uint64());
+            break;
+        case ejection_field::ejections:
+            it.ejections = static_cast<std::uint8_t>(in.get_uint32());
+            break;
+        default:
+            in.skip();
+        }
+    }
+    return it;
+}
+
+template <typename Message, typename Field, typename Item>
+auto read_list(reader<list_field> in, Item (*read_item)(reader<Field>))
+    -> Message {
+    Message it;
+    while (in.next()) {
+        if (in.tag() == list_field::item)
+            it.items.push_back(read_item(in.get_message()));
+        else
+            in.skip();
+    }
+    return it;
+}
+
 template <typename Message>
 auto checked_parts(Message message) -> std::optional<peer_message> {
     if (message.parts == 0 || message.parts > parts_limit ||
@@ -299,6 +352,10 @@
         return checked_parts(read_records(in.get_message()));
     case envelope_field::routes:
         return checked_parts(read_routes(in.get_message()));
+    case envelope_field::outcomes:
+        return read_list<outcomes_message>(in.get_message(), read_outcome);
+    case envelope_field::ejections:
+        return read_list<ejections_message>(in.get_message(), read_ejection);
     default:
         return std::nullopt;
     }
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "shared_outcomes.hpp"
+
 namespace dogwoodtrack::carried {
 
 namespace {
@@ -316,6 +318,17 @@
         offer(it, from, now, out);
 }
 
+auto on_body(board &it, std::uint32_t /*from*/, const outcomes_message &message,
+             time_point now, std::vector<outgoing> & /*out*/) -> void {
+    take_told_outcomes(it, message, now);
+}
+
+auto on_body(board &it, std::uint32_t /*from*/,
+             const ejections_message &message, time_point now,
+             std::vector<outgoing> & /*out*/) -> void {
+    take_told_ejections(it, message, now);
+}
+
 // ---- answers of the store
 
 auto may_come_back(const board &it, time_point now) -> bool {
--- a/src/libdogwoodtrack/carried/spread.hpp
+++ b/src/libdogwoodtrack/carried/spread.hpp
@@ -4,12 +4,6 @@
 
 namespace dogwoodtrack::carried {
 
-/// A message on its way to a peer.
-struct outgoing {
-    std::uint32_t to = 0;
-    peer_message message;
-};
-
 /// This balancer's sign of life and what it knows, for a few random peers.
 auto send_digests(board &it, time_point now, std::vector<outgoing> &out)
     -> void;
--- a/src/libdogwoodtrack/carried/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/steering_test.cpp
@@ -153,6 +153,50 @@
     CHECK(failures <= 4);
 }
 
+TEST_CASE("errors at once, behind a long way: the way is not their work") {
+    auto state = make_state(5);
+    constexpr milliseconds round_trip{9};
+    constexpr milliseconds work{25};
+    auto now = start;
+    std::size_t failures = 0;
+    for (std::uint16_t port = 1; port <= 400; ++port, now += milliseconds{5}) {
+        const auto placed = steer(state, opening(port), now);
+        const auto fails = placed.to == 0 && port > 100;
+        failures += fails ? 1 : 0;
+        const auto asked = now + round_trip;
+        steer(state, later(port, placed.code, 100), asked);
+        auto last = later(port, placed.code, 0, fails ? 656 : 1'500);
+        last.finishes = true;
+        steer(state, last,
+              asked + round_trip + (fails ? milliseconds{0} : work));
+    }
+    CHECK(failures <= 4);
+}
+
+TEST_CASE("several requests on one flow: errors are seen before it ends") {
+    auto state = make_state(5);
+    auto now = start;
+    std::vector<std::uint32_t> codes;
+    for (std::uint16_t port = 1; port <= 5; ++port) {
+        codes.push_back(steer(state, opening(port), now).code);
+        steer(state, later(port, codes.back()), now + milliseconds{5});
+    }
+    std::vector<std::uint32_t> acknowledged(5, 500);
+    for (int round = 0; round < 40; ++round) {
+        for (std::uint16_t port = 1; port <= 5; ++port) {
+            auto &ack = acknowledged[port - 1];
+            const auto fails = port == 2 && round > 30;
+            const milliseconds took{fails ? 1 : 40};
+            steer(state, later(port, codes[port - 1], 100, ack), now);
+            ack += fails ? 150 : 1'000;
+            steer(state, later(port, codes[port - 1], 0, ack), now + took);
+            now += milliseconds{50};
+        }
+    }
+    const auto failing = index_by_code(state.upstreams, codes[1]);
+    CHECK(is_ejected(state.upstreams.all[failing], now));
+}
+
 TEST_CASE("calm: answers of usual length and time eject nobody") {
     auto state = make_state(5);
     std::minstd_rand random(7);
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -34,11 +34,18 @@
     std::uint64_t changed_at = 0; ///< store revision that shows this state
 };
 
+/// How many requests an upstream failed and answered.
+struct outcome_counts {
+    std::uint32_t failures = 0; ///< errors, and requests that hang
+    std::uint32_t answers = 0;
+};
+
 /// What the flows of this instance met at one upstream.
 struct upstream_observations {
     std::uint32_t open = 0;       ///< flows opened here and not yet closed
     std::uint32_t unanswered = 0; ///< openings without an answer in a row
-    float doubt = 0; ///< grows with failed requests, see `note_outcome`
+    float doubt = 0;       ///< grows with failed requests, see `take_outcomes`
+    outcome_counts untold; ///< not yet told to the upstream's judge
     std::uint8_t ejections = 0; ///< since it was last above doubt
     time_point ejected_until{};
     time_point avoid_until{}; ///< gets only single trial flows before
@@ -73,6 +80,10 @@
     boost::unordered_flat_map<service_key, std::vector<upstream_index>>
         placeable;
     std::uint64_t content = 0; ///< highest `changed_at` taken
+    /// Upstreams with failures that their judge was not yet told.
+    std::vector<upstream_index> failing;
+    /// Upstreams ejected since the list was last taken.
+    std::vector<upstream_index> ejected;
 };
 
 /// Code of an incarnation, the same on every balancer, never 0.
--- a/src/libstandin/fleet_model.cpp
+++ b/src/libstandin/fleet_model.cpp
@@ -17,6 +17,7 @@
         {"late", report.late},
         {"failed", report.failed},
         {"errors", report.errors},
+        {"hung", report.hung},
         {"shed", report.shed},
         {"resets", report.resets},
         {"store_calls", report.store_calls},
--- a/src/libstandin/fleet_model.hpp
+++ b/src/libstandin/fleet_model.hpp
@@ -13,6 +13,7 @@
     store_away,      ///< calls fail; entries of upstreams vanish meanwhile
     crash_upstreams, ///< silent; their entries vanish after a while
     fail_upstreams,  ///< answer each request with an error at once
+    hang_upstreams,  ///< take requests and never answer them
     drain_upstreams, ///< say that they leave
     cut_domain,      ///< one failure domain reaches only itself and callers
     new_configuration
@@ -51,6 +52,7 @@
     std::size_t late = 0;
     std::size_t failed = 0;
     std::size_t errors = 0; ///< answers of failing upstreams, retried or not
+    std::size_t hung = 0;   ///< requests that an upstream never answered
     std::size_t shed = 0;   ///< requests that found an upstream's queue full
     std::size_t resets = 0; ///< of established flows by balancers
     std::size_t store_calls = 0;
--- a/src/libstandin/fleet_model_test.cpp
+++ b/src/libstandin/fleet_model_test.cpp
@@ -141,3 +141,24 @@
     // The work alone takes too long for 1.5% of the requests.
     CHECK(share(many.in_time, many) > 0.975);
 }
+
+TEST_CASE("hanging upstreams: the balancers of a domain find them together") {
+    model_options options{.balancers = 20,
+                          .upstreams = 40,
+                          .slots = 2,
+                          .queue = 8,
+                          .arrivals_per_second = 500,
+                          .length = seconds{12},
+                          .bound = seconds{5},
+                          .faults = {{.kind = fault_kind::hang_upstreams,
+                                      .at = soon,
+                                      .lasts = seconds{6},
+                                      .share = 0.2}}};
+    const auto report = play(options);
+    check_promises(report);
+    // Nothing is told before the first requests have been waiting for long:
+    // 300 a second go to a fifth of the upstreams until then.
+    CHECK(share(report.hung, report) < 0.02);
+    options.faults.front().kind = fault_kind::fail_upstreams;
+    CHECK(share(play(options).errors, report) < 0.01);
+}
--- a/src/libstandin/fleet_world.cpp
+++ b/src/libstandin/fleet_world.cpp
@@ -87,12 +87,9 @@
     case fault_kind::crash_upstreams:
         return crash(n, it.lasts);
     case fault_kind::fail_upstreams:
-        for (std::size_t i = 0; i < n; ++i)
-            hosts_[i].failing = true;
-        return after(it.lasts, [this, n] {
-            for (std::size_t i = 0; i < n; ++i)
-                hosts_[i].failing = false;
-        });
+        return mark(n, it.lasts, &host::failing);
+    case fault_kind::hang_upstreams:
+        return mark(n, it.lasts, &host::hanging);
     case fault_kind::drain_upstreams:
         for (std::size_t i = 0; i < n; ++i) {
             write_entry(i, upstream_state::draining);
@@ -107,6 +104,15 @@
     }
 }
 
+auto world::mark(std::size_t n, milliseconds lasts, bool host::*what) -> void {
+    for (std::size_t i = 0; i < n; ++i)
+        hosts_[i].*what = true;
+    after(lasts, [this, n, what] {
+        for (std::size_t i = 0; i < n; ++i)
+            hosts_[i].*what = false;
+    });
+}
+
 auto world::kill(std::size_t n, milliseconds down) -> void {
     for (std::size_t i = 0; i < n; ++i) {
         auto &it = balancers_[i];
--- a/src/libstandin/fleet_world.hpp
+++ b/src/libstandin/fleet_world.hpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <random>
 
+#include "carried/shared_outcomes.hpp"
 #include "carried/spread.hpp"
 #include "carried/steering.hpp"
 #include "carried/watch_duty.hpp"
@@ -37,6 +38,7 @@
     upstream_record record;
     bool dark = false;
     bool failing = false;
+    bool hanging = false;
     time_point left{}; ///< when the store took the news that it leaves
     unsigned busy = 0;
     std::deque<std::function<void()>> waiting;
@@ -195,6 +197,8 @@
 
     auto crash(std::size_t n, milliseconds lasts) -> void;
 
+    auto mark(std::size_t n, milliseconds lasts, bool host::*what) -> void;
+
     auto take_store_away(milliseconds lasts) -> void;
 
     auto finish() -> void;
--- a/src/libstandin/fleet_world_balancers.cpp
+++ b/src/libstandin/fleet_world_balancers.cpp
@@ -54,6 +54,9 @@
         send(i, out);
     }
     tick(it);
+    std::vector<outgoing> told;
+    share_outcomes(it.state, now_, told);
+    send(i, told);
     auto held = std::exchange(it.held, {});
     for (auto &[since, again] : held) {
         if (now_ - since < attempt_time)
--- a/src/libstandin/fleet_world_callers.cpp
+++ b/src/libstandin/fleet_world_callers.cpp
@@ -145,6 +145,10 @@
     auto &to = hosts_[h];
     if (to.dark)
         return;
+    if (to.hanging) {
+        ++report_.hung;
+        return;
+    }
     if (to.failing)
         return after(milliseconds{1}, [this, it, i, head] {
             ++report_.errors;
