answers: an ejected upstream is tried by its judge, with safe requests only

Change: on probation an upstream gets single trial flows of its judge, with requests that may be repeated; the judge tells its domain when it trusts the upstream again. Without word from a judge probation ends after 12 s.

A trial of twice the weight for a request that hangs was not made: services whose work has a long tail would pay.

--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -16,12 +16,13 @@
 constexpr float tiny_part = 0.08F;
 /// Doubt that a failure adds, that an answer takes away, and that ejects.
 constexpr float failure_doubt = 1.0F;
-constexpr float answer_relief = 0.4F;
+constexpr float answer_relief = 0.2F;
 constexpr float doubt_limit = 2.9F;
-/// After an ejection one more failure is enough, and answers count less.
+/// After an ejection one more failure is enough.
 constexpr float doubt_kept = 2.0F;
-constexpr float probation_relief = 0.25F;
-constexpr float probation_doubt = 1.0F;
+/// Probation ends below this doubt, or after this time without a judgement.
+constexpr float probation_doubt = 1.05F;
+constexpr milliseconds probation_longest{12'000};
 constexpr milliseconds first_ejection{3'000};
 constexpr milliseconds longest_ejection{24'000};
 constexpr std::uint8_t doublings_max = 3;
@@ -101,9 +102,11 @@
                    const outcome_counts &counts, time_point now) -> void {
     auto &it = table.all[index];
     auto &seen = it.seen;
-    const auto relief = seen.ejections > 0 ? probation_relief : answer_relief;
-    seen.doubt = std::max(
-        0.0F, seen.doubt - relief * static_cast<float>(counts.answers));
+    const auto was_on_probation = is_on_probation(it, now);
+    const auto relief = answer_relief * static_cast<float>(counts.answers);
+    seen.doubt = std::max(0.0F, seen.doubt - relief);
+    if (was_on_probation && !is_on_probation(it, now))
+        table.judged.push_back(index);
     if (seen.doubt == 0)
         seen.ejections = 0;
     seen.doubt += failure_doubt * static_cast<float>(counts.failures);
@@ -111,22 +114,25 @@
         is_ejected(it, now) || !may_eject(table, it.record.service))
         return;
     eject(seen, now);
-    table.ejected.push_back(index);
+    table.judged.push_back(index);
 }
 
-auto eject_as_told(upstream &it, milliseconds left, std::uint8_t ejections,
-                   time_point now) -> void {
-    it.seen.ejected_until = std::max(it.seen.ejected_until, now + left);
-    it.seen.ejections = std::max(it.seen.ejections, ejections);
-    it.seen.doubt = doubt_kept;
+auto take_judgement(upstream &it, const judgement &said, time_point now)
+    -> void {
+    auto &seen = it.seen;
+    seen.judged_here = false;
+    seen.ejections = said.ejections;
+    seen.ejected_until = now + said.left;
+    seen.doubt = said.ejections > 0 ? doubt_kept : 0;
 }
 
 auto is_ejected(const upstream &it, time_point now) -> bool {
     return now < it.seen.ejected_until;
 }
 
-auto is_on_probation(const upstream &it) -> bool {
-    return it.seen.ejections > 0 && it.seen.doubt > probation_doubt;
+auto is_on_probation(const upstream &it, time_point now) -> bool {
+    return it.seen.ejections > 0 && it.seen.doubt > probation_doubt &&
+           now < it.seen.ejected_until + probation_longest;
 }
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/answers.hpp
+++ b/src/libdogwoodtrack/carried/answers.hpp
@@ -39,20 +39,26 @@
 
 /// Takes outcomes that this instance or another one counted. An upstream
 /// with many failures among its last requests is ejected for a while, longer
-/// each time, unless many upstreams of its service are in doubt.
+/// each time, unless many upstreams of its service are in doubt. Those
+/// ejected, or trusted again, are listed in `upstream_table::judged`.
 auto take_outcomes(upstream_table &table, upstream_index index,
                    const outcome_counts &counts, time_point now) -> void;
 
-/// An upstream that another instance ejected, for `left`, as its
-/// `ejections`-th time in a row.
-auto eject_as_told(upstream &it, milliseconds left, std::uint8_t ejections,
-                   time_point now) -> void;
+/// What a judge says of an upstream.
+struct judgement {
+    milliseconds left{0};       ///< of an ejection
+    std::uint8_t ejections = 0; ///< in a row; 0 if it is trusted again
+};
+
+/// Takes what the upstream's judge in this failure domain says.
+auto take_judgement(upstream &it, const judgement &said, time_point now)
+    -> void;
 
 /// Whether the upstream was ejected for failing requests.
 auto is_ejected(const upstream &it, time_point now) -> bool;
 
 /// Whether the upstream was ejected and has not answered enough requests
 /// since. It gets single trial flows only.
-auto is_on_probation(const upstream &it) -> bool;
+auto is_on_probation(const upstream &it, time_point now) -> bool;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -142,10 +142,15 @@
          {"waiting", std::uint64_t{it.waiting.all.size()}}});
 }
 
-auto log_ejections(const context &it, time_point now) -> void {
+auto log_judged(const context &it, time_point now) -> void {
     const auto &upstreams = it.state.steering.upstreams;
-    for (const auto index : upstreams.ejected) {
+    for (const auto index : upstreams.judged) {
         const auto &one = upstreams.all[index];
+        if (!is_ejected(one, now)) {
+            log_event(severity::info, "upstream_returned",
+                      {{"upstream", one.record.id}});
+            continue;
+        }
         const auto left =
             std::chrono::ceil<milliseconds>(one.seen.ejected_until - now);
         log_event(severity::info, "upstream_ejected",
@@ -157,7 +162,7 @@
 }
 
 auto tell_outcomes(context &it, time_point now) -> void {
-    log_ejections(it, now);
+    log_judged(it, now);
     std::vector<outgoing> out;
     share_outcomes(it.state, now, out);
     send_all(it, out);
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -11,6 +11,9 @@
 /// An upstream that does not answer gets one trial flow in this time.
 constexpr milliseconds trial_interval{400};
 constexpr milliseconds avoidance{1'500};
+/// Load of an upstream whose trial is due counts so much less, so that the
+/// trial takes place where others are idle, too.
+constexpr float trial_factor = 0.1F;
 /// Load of an upstream in another failure domain counts this much more.
 constexpr float foreign_factor = 1.6F;
 constexpr float foreign_extra = 0.34F;
@@ -44,13 +47,22 @@
 
 auto is_avoided(const upstream &it, time_point now) -> bool {
     return now < it.seen.avoid_until || is_ejected(it, now) ||
-           is_on_probation(it);
+           is_on_probation(it, now);
 }
 
 auto trial_is_due(const upstream &it, time_point now) -> bool {
     return !is_ejected(it, now) && now - it.seen.last_trial >= trial_interval;
 }
 
+// Trials of those that failed requests are the judge's, which tells the rest;
+// a caller whose request cannot be repeated is spared them.
+auto may_try(const upstream &it, request_kind kind, time_point now) -> bool {
+    if (!trial_is_due(it, now))
+        return false;
+    return !is_on_probation(it, now) ||
+           (it.seen.judged_here && kind != request_kind::non_idempotent);
+}
+
 auto load_after_placing(const upstream &it, const choice_position &position,
                         float mean_ms, time_point now) -> float {
     const auto slots =
@@ -78,10 +90,10 @@
 
 } // namespace
 
-auto choose_upstream(upstream_table &table, service_key service,
-                     const choice_position &position, upstream_index except,
-                     time_point now) -> upstream_index {
-    const auto found = table.placeable.find(service);
+auto choose_upstream(upstream_table &table, const new_flow &wanted,
+                     const choice_position &position, time_point now)
+    -> upstream_index {
+    const auto found = table.placeable.find(wanted.service);
     if (found == table.placeable.end() || found->second.empty())
         return no_upstream;
     const auto &list = found->second;
@@ -94,8 +106,11 @@
         const auto index = list[(start + i) % list.size()];
         const auto &it = table.all[index];
         const auto load = load_after_placing(it, position, mean_ms, now);
-        if (index == except || (is_avoided(it, now) && !trial_is_due(it, now)))
+        if (index == wanted.except ||
+            (is_avoided(it, now) && !may_try(it, wanted.kind, now)))
             avoided.offer(index, load);
+        else if (is_on_probation(it, now))
+            best.offer(index, load * trial_factor);
         else
             best.offer(index, load);
     }
--- a/src/libdogwoodtrack/carried/choice.hpp
+++ b/src/libdogwoodtrack/carried/choice.hpp
@@ -17,13 +17,20 @@
 /// single trial flows.
 inline constexpr std::uint32_t unanswered_limit = 2;
 
-/// Chooses an upstream for a new flow of `service`: the least loaded for its
-/// speed, in the own failure domain as long as that is not slower. `except`
-/// is left out where there is another. Returns `no_upstream` if none may be
-/// used.
-auto choose_upstream(upstream_table &table, service_key service,
-                     const choice_position &position, upstream_index except,
-                     time_point now) -> upstream_index;
+/// What an upstream is chosen for.
+struct new_flow {
+    service_key service = 0;
+    request_kind kind = request_kind::idempotent;
+    upstream_index except = no_upstream; ///< left out where there is another
+};
+
+/// Chooses an upstream for a new flow: the least loaded for its speed, in the
+/// own failure domain as long as that is not slower. An upstream on probation
+/// is tried by its judge, and only with requests that can be repeated.
+/// Returns `no_upstream` if none may be used.
+auto choose_upstream(upstream_table &table, const new_flow &wanted,
+                     const choice_position &position, time_point now)
+    -> upstream_index;
 
 /// An opening sent to this upstream got no answer in time.
 auto note_unanswered(upstream &it, time_point now) -> void;
--- a/src/libdogwoodtrack/carried/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/peer_fields.hpp
@@ -23,7 +23,7 @@
     records = 3,
     routes = 4,
     outcomes = 5,
-    ejections = 6
+    judgements = 6
 };
 enum class member_field : protozero::pbf_tag_type {
     address = 1,
@@ -84,7 +84,7 @@
     failures = 2,
     answers = 3
 };
-enum class ejection_field : protozero::pbf_tag_type {
+enum class judgement_field : protozero::pbf_tag_type {
     code = 1,
     left_ms = 2,
     ejections = 3
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -112,14 +112,14 @@
     }
 }
 
-auto write_body(builder<envelope_field> &envelope, const ejections_message &it)
+auto write_body(builder<envelope_field> &envelope, const judgements_message &it)
     -> void {
-    builder<list_field> out(envelope, envelope_field::ejections);
+    builder<list_field> out(envelope, envelope_field::judgements);
     for (const auto &one : it.items) {
-        builder<ejection_field> to(out, list_field::item);
-        to.add_fixed32(ejection_field::code, one.code);
-        to.add_uint64(ejection_field::left_ms, to_count(one.left));
-        to.add_uint32(ejection_field::ejections, one.ejections);
+        builder<judgement_field> to(out, list_field::item);
+        to.add_fixed32(judgement_field::code, one.code);
+        to.add_uint64(judgement_field::left_ms, to_count(one.said.left));
+        to.add_uint32(judgement_field::ejections, one.said.ejections);
     }
 }
 
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "answers.hpp"
 #include "fleet.hpp"
 #include "upstreams.hpp"
 
@@ -67,21 +68,20 @@
     std::vector<told_outcome> items;
 };
 
-/// An upstream that its judge has ejected.
-struct told_ejection {
+/// What the sender, as their judge, says of upstreams, for its failure
+/// domain.
+struct told_judgement {
     std::uint32_t code = 0;
-    milliseconds left{0};
-    std::uint8_t ejections = 0;
+    judgement said;
 };
 
-/// For the failure domain of the judge.
-struct ejections_message {
-    std::vector<told_ejection> items;
+struct judgements_message {
+    std::vector<told_judgement> items;
 };
 
 using peer_message =
     std::variant<digest_message, pull_message, records_message, routes_message,
-                 outcomes_message, ejections_message>;
+                 outcomes_message, judgements_message>;
 
 /// A message on its way to a peer.
 struct outgoing {
--- a/src/libdogwoodtrack/carried/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages_read.cpp
@@ -298,18 +298,18 @@
     return it;
 }
 
-auto read_ejection(reader<ejection_field> in) -> told_ejection {
-    told_ejection it;
+auto read_judgement(reader<judgement_field> in) -> told_judgement {
+    told_judgement it;
     while (in.next()) {
         switch (in.tag()) {
-        case ejection_field::code:
+        case judgement_field::code:
             it.code = in.get_fixed32();
             break;
-        case ejection_field::left_ms:
-            it.left = to_milliseconds(in.get_uint64());
+        case judgement_field::left_ms:
+            it.said.left = to_milliseconds(in.get_uint64());
             break;
-        case ejection_field::ejections:
-            it.ejections = static_cast<std::uint8_t>(in.get_uint32());
+        case judgement_field::ejections:
+            it.said.ejections = static_cast<std::uint8_t>(in.get_uint32());
             break;
         default:
             in.skip();
@@ -354,8 +354,8 @@
         return checked_parts(read_routes(in.get_message()));
     case envelope_field::outcomes:
         return read_list<outcomes_message>(in.get_message(), read_outcome);
-    case envelope_field::ejections:
-        return read_list<ejections_message>(in.get_message(), read_ejection);
+    case envelope_field::judgements:
+        return read_list<judgements_message>(in.get_message(), read_judgement);
     default:
         return std::nullopt;
     }
--- a/src/libdogwoodtrack/carried/shared_outcomes.cpp
+++ b/src/libdogwoodtrack/carried/shared_outcomes.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// Those that are told of an ejection stay away for so much longer than the
-/// judge, which needs this time to see a trial flow hang again.
-constexpr milliseconds trial_lead{1'500};
 /// An ejection is never taken for longer than this.
 constexpr milliseconds told_longest{30'000};
 /// Items in one message, so that it stays under the datagram limit.
@@ -47,20 +44,25 @@
         send_to(judge, messages, out);
 }
 
+auto judgement_of(const upstream &it, time_point now) -> judgement {
+    if (is_ejected(it, now))
+        return {.left = std::chrono::ceil<milliseconds>(it.seen.ejected_until -
+                                                        now),
+                .ejections = it.seen.ejections};
+    return {};
+}
+
 auto tell_domain(board &it, time_point now, std::vector<outgoing> &out)
     -> void {
     auto &table = it.steering.upstreams;
-    std::vector<ejections_message> messages;
-    for (const auto index : std::exchange(table.ejected, {})) {
-        const auto &one = table.all[index];
-        if (!is_ejected(one, now) || judge_of(it.members, one.record.service,
-                                              now) != it.members.self.address)
-            continue;
-        const auto left =
-            std::chrono::ceil<milliseconds>(one.seen.ejected_until - now);
-        add_item(messages, told_ejection{.code = one.code,
-                                         .left = left,
-                                         .ejections = one.seen.ejections});
+    std::vector<judgements_message> messages;
+    for (const auto index : std::exchange(table.judged, {})) {
+        auto &one = table.all[index];
+        one.seen.judged_here = judge_of(it.members, one.record.service, now) ==
+                               it.members.self.address;
+        if (one.seen.judged_here)
+            add_item(messages, told_judgement{.code = one.code,
+                                              .said = judgement_of(one, now)});
     }
     if (messages.empty())
         return;
@@ -93,13 +95,15 @@
     }
 }
 
-auto take_told_ejections(board &it, const ejections_message &message,
-                         time_point now) -> void {
+auto take_told_judgements(board &it, const judgements_message &message,
+                          time_point now) -> void {
     for (const auto &told : message.items) {
         auto *one = find_by_code(it.steering.upstreams, told.code);
-        if (one != nullptr)
-            eject_as_told(*one, std::min(told.left + trial_lead, told_longest),
-                          told.ejections, now);
+        if (one == nullptr)
+            continue;
+        auto said = told.said;
+        said.left = std::min(said.left, told_longest);
+        take_judgement(*one, said, now);
     }
 }
 
--- a/src/libdogwoodtrack/carried/shared_outcomes.hpp
+++ b/src/libdogwoodtrack/carried/shared_outcomes.hpp
@@ -18,7 +18,7 @@
 
 /// Tells judges what the flows of this instance met at upstreams that failed
 /// some requests, and tells the failure domain which upstreams this instance,
-/// as their judge, has ejected.
+/// as their judge, has ejected or trusts again.
 auto share_outcomes(board &it, time_point now, std::vector<outgoing> &out)
     -> void;
 
@@ -26,9 +26,8 @@
 auto take_told_outcomes(board &it, const outcomes_message &message,
                         time_point now) -> void;
 
-/// Takes ejections of another judge. They last a little longer here, so that
-/// the judge's own flows try the upstream first.
-auto take_told_ejections(board &it, const ejections_message &message,
-                         time_point now) -> void;
+/// Takes what another balancer, as their judge, says of upstreams.
+auto take_told_judgements(board &it, const judgements_message &message,
+                          time_point now) -> void;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -324,9 +324,9 @@
 }
 
 auto on_body(board &it, std::uint32_t /*from*/,
-             const ejections_message &message, time_point now,
+             const judgements_message &message, time_point now,
              std::vector<outgoing> & /*out*/) -> void {
-    take_told_ejections(it, message, now);
+    take_told_judgements(it, message, now);
 }
 
 // ---- answers of the store
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -26,9 +26,11 @@
 auto place(steering_state &state, const packet_head &head,
            const route_terms &route, flow *known, time_point now) -> verdict {
     const auto service = choose_service(route, flow_ends_hash{}(head.ends));
-    const auto except = known == nullptr ? no_upstream : known->to;
+    const new_flow wanted{.service = service,
+                          .kind = route.kind,
+                          .except = known == nullptr ? no_upstream : known->to};
     const auto to =
-        choose_upstream(state.upstreams, service, state.position, except, now);
+        choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream)
         return refuse(state.upstreams_known ? verdict_kind::reject
                                             : verdict_kind::hold,
@@ -124,8 +126,12 @@
     auto &silent = state.upstreams.all[known->to];
     if (!answered_since(state, *known))
         note_unanswered(silent, now);
-    const auto to = choose_upstream(state.upstreams, silent.record.service,
-                                    state.position, known->to, now);
+    // Where the first choice is silent, no second trial is made.
+    const new_flow wanted{.service = silent.record.service,
+                          .kind = request_kind::non_idempotent,
+                          .except = known->to};
+    const auto to =
+        choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream || to == known->to)
         return {};
     bind_flow(state.upstreams, *known, to);
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -47,6 +47,7 @@
     float doubt = 0;       ///< grows with failed requests, see `take_outcomes`
     outcome_counts untold; ///< not yet told to the upstream's judge
     std::uint8_t ejections = 0; ///< since it was last above doubt
+    bool judged_here = false;   ///< this instance ejected it for its domain
     time_point ejected_until{};
     time_point avoid_until{}; ///< gets only single trial flows before
     time_point last_trial{};
@@ -82,8 +83,8 @@
     std::uint64_t content = 0; ///< highest `changed_at` taken
     /// Upstreams with failures that their judge was not yet told.
     std::vector<upstream_index> failing;
-    /// Upstreams ejected since the list was last taken.
-    std::vector<upstream_index> ejected;
+    /// Upstreams ejected, or trusted again, since the list was last taken.
+    std::vector<upstream_index> judged;
 };
 
 /// Code of an incarnation, the same on every balancer, never 0.
