flows: requests of flows that moved to another balancer do not hang

Of 1,700 failures told in the two seconds after the final outage, 1,695 were requests that hang. When the rotation changes, nearly all flows move to other balancers; the one that saw a request never sees its answer. The upstreams left over were overloaded. Ruled out: errors (7 of 1,700).

Change: a packet without payload of an unknown flow shows that the fabric deals flows anew; requests seen before it are not judged. A request hangs after ten times the usual time, at least 400 ms, again.

--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -16,7 +16,8 @@
 constexpr float tiny_part = 0.08F;
 /// Doubt that a failure adds, that an answer takes away, and that ejects.
 constexpr float failure_doubt = 1.0F;
-constexpr float answer_relief = 0.2F;
+constexpr float answer_relief = 0.4F;
+constexpr float probation_relief = 0.2F;
 constexpr float doubt_limit = 2.9F;
 /// After an ejection one more failure is enough.
 constexpr float doubt_kept = 2.0F;
@@ -103,8 +104,9 @@
     auto &it = table.all[index];
     auto &seen = it.seen;
     const auto was_on_probation = is_on_probation(it, now);
-    const auto relief = answer_relief * static_cast<float>(counts.answers);
-    seen.doubt = std::max(0.0F, seen.doubt - relief);
+    const auto relief = was_on_probation ? probation_relief : answer_relief;
+    seen.doubt = std::max(
+        0.0F, seen.doubt - relief * static_cast<float>(counts.answers));
     if (was_on_probation && !is_on_probation(it, now))
         table.judged.push_back(index);
     if (seen.doubt == 0)
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -18,8 +18,8 @@
 /// An opening without an answer is dropped.
 constexpr milliseconds opening_kept{3'000};
 /// A request unanswered for so many times the usual time counts as hanging,
-constexpr float hanging_factor = 6;
-constexpr milliseconds hanging_least{250};
+constexpr float hanging_factor = 10;
+constexpr milliseconds hanging_least{400};
 /// or after this time while the usual time is unknown.
 constexpr milliseconds hanging_unknown{1'500};
 constexpr std::size_t answers_kept = 1'024;
@@ -116,7 +116,8 @@
         return;
     it.hung = true;
     uncount_flow(upstreams, it);
-    if (it.to != no_upstream)
+    const auto may_have_left = it.asked <= flows.moved;
+    if (it.to != no_upstream && !may_have_left)
         note_outcome(upstreams, it.to, request_outcome::hanging, now);
 }
 
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -69,6 +69,9 @@
     std::deque<flow_ends> sweep_order;
     /// What answers usually look like, by address.
     boost::unordered_flat_map<endpoint, answer_profile, endpoint_hash> usual;
+    /// Packets from the middle of a flow began to arrive here: the fabric deals
+    /// flows anew, and others have left for other balancers.
+    time_point moved{};
     std::size_t limit = 50'000;
     std::uint64_t overflowed = 0;  ///< flows that found no room
     std::vector<float> answers_ms; ///< not yet in the metrics, bounded
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -107,8 +107,12 @@
         return refuse(state.upstreams_known ? verdict_kind::drop
                                             : verdict_kind::hold,
                       refusal::unknown_binding);
-    if (known == nullptr)
+    if (known == nullptr) {
+        // A caller that asks after a long pause sends payload.
+        if (head.payload == 0)
+            state.flows.moved = now;
         known = add_flow(state.flows, head.ends, now);
+    }
     if (known != nullptr) {
         if (known->to != to)
             bind_flow(state.upstreams, *known, to);
--- a/src/libdogwoodtrack/carried/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/steering_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "test_support.hpp"
@@ -210,6 +212,28 @@
         CHECK(it.seen.ejected_until == time_point{});
 }
 
+TEST_CASE("rotation changes: requests of flows that moved away do not hang") {
+    for (const auto moved : {false, true}) {
+        auto state = make_state(10);
+        for (std::uint16_t port = 1; port <= 10; ++port) {
+            const auto placed = steer(state, opening(port), start);
+            steer(state, later(port, placed.code, 100), start);
+        }
+        const auto code = state.upstreams.all[0].code;
+        const auto soon_after = start + milliseconds{30};
+        if (moved)
+            steer(state, later(99, code, 0, 1'500), soon_after);
+        else // a request on a flow that was idle for long
+            steer(state, later(99, code, 100, 1'500), soon_after);
+        const auto now = start + seconds{2};
+        sweep_flows(state.flows, state.upstreams, 100, now);
+        const auto in_doubt = std::count_if(
+            state.upstreams.all.begin(), state.upstreams.all.end(),
+            [](const upstream &it) { return it.seen.doubt > 0; });
+        CHECK(in_doubt == (moved ? 0 : 10));
+    }
+}
+
 TEST_CASE("crowd: when all upstreams hang, most stay in use") {
     auto state = make_state(10);
     for (upstream_index i = 0; i < 10; ++i) {
