members: a balancer soon knows who watches the store, however many there are

Nearly all were made by balancers that took themselves for one of the two that watch, knowing 8 to 50 of 300 members: the silence after which a member counts as dead grew with the members known, hearsay older than that was not taken, so few stayed known; and one that few had heard of was told little.

At the first start nobody takes a rank for known before 85% of the bound.

--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -6,11 +6,16 @@
 
 namespace {
 
+/// Hearsay reaches a few members at once; more need several rounds.
 constexpr milliseconds silence_least{2'000};
+constexpr milliseconds silence_of_many{5'000};
+constexpr std::size_t few_members = 16;
 constexpr milliseconds silence_a_member{45};
 constexpr milliseconds silence_most{30'000};
 constexpr int kept_limits = 6;
 
+/// Members that every digest tells of, the first in the order of watching.
+constexpr std::size_t first_told = 4;
 constexpr std::uint16_t large_capacity = 400;
 constexpr std::uint16_t middle_capacity = 80;
 /// Purpose of the order in which balancers watch the store.
@@ -49,11 +54,17 @@
 
 auto silence_limit(const fleet &it) -> milliseconds {
     const auto members = static_cast<std::int64_t>(it.others.size());
-    return std::clamp(silence_a_member * members, silence_least, silence_most);
+    const auto least =
+        it.others.size() <= few_members ? silence_least : silence_of_many;
+    return std::clamp(silence_a_member * members, least, silence_most);
+}
+
+auto known_for(const fleet &it) -> milliseconds {
+    return silence_limit(it) * kept_limits;
 }
 
 auto expire_members(fleet &it, time_point now) -> void {
-    const auto kept = silence_limit(it) * kept_limits;
+    const auto kept = known_for(it);
     boost::unordered::erase_if(it.others, [&](const auto &entry) {
         return now - entry.second.heard >= kept;
     });
@@ -108,7 +119,13 @@
         if (is_live(it, member, now))
             told.push_back(member);
     }
-    std::shuffle(told.begin(), told.end(), it.random);
+    const auto first = std::min({first_told, most, told.size()});
+    const auto rest = told.begin() + static_cast<std::ptrdiff_t>(first);
+    std::partial_sort(told.begin(), rest, told.end(),
+                      [](const fleet_member &a, const fleet_member &b) {
+                          return comes_before(a, b, watching);
+                      });
+    std::shuffle(rest, told.end(), it.random);
     if (told.size() > most)
         told.resize(most);
     return told;
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -47,11 +47,15 @@
 /// come by hearsay, which takes longer among many.
 auto silence_limit(const fleet &it) -> milliseconds;
 
+/// A member is known, if not as a live one, for this time after it was heard:
+/// the number of members tells how long hearsay takes.
+auto known_for(const fleet &it) -> milliseconds;
+
 /// Takes note that `seen` was heard of at `seen.heard`; an older sign of
 /// life than the one known changes nothing.
 auto note_member(fleet &it, const fleet_member &seen) -> void;
 
-/// Forgets members that have been silent for a multiple of the limit.
+/// Forgets members that have been silent for longer than `known_for`.
 auto expire_members(fleet &it, time_point now) -> void;
 
 /// Whether the member gave a sign of life within `silence_limit`.
@@ -67,7 +71,9 @@
 auto random_peers(fleet &it, std::size_t most, std::size_t own_domain,
                   time_point now) -> std::vector<std::uint32_t>;
 
-/// Up to `most` members heard last, for a digest.
+/// Up to `most` live members for a digest: those that come first in the order
+/// in which balancers watch the store, so that all know who does, and others
+/// at random.
 auto members_to_tell(fleet &it, std::size_t most, time_point now)
     -> std::vector<fleet_member>;
 
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -197,7 +197,7 @@
     for (const auto &told : message.members) {
         auto seen = told.member;
         seen.heard = now - told.age;
-        if (now - seen.heard < silence_limit(it.members))
+        if (now - seen.heard < known_for(it.members))
             note_member(it.members, seen);
     }
     for (std::size_t i = 0; i < feed_count; ++i)
@@ -452,10 +452,16 @@
     if (from == it.members.self.address)
         return;
     const auto known = it.members.others.find(from);
+    const auto is_newcomer = known == it.members.others.end() ||
+                             !is_live(it.members, known->second, now);
     if (known != it.members.others.end())
         known->second.heard = now;
     std::visit([&](const auto &body) { on_body(it, from, body, now, out); },
                message);
+    // Few have heard of it, so few tell it who else is there.
+    if (is_newcomer && std::holds_alternative<digest_message>(message))
+        out.push_back(
+            {.to = from, .message = make_digest(it, digest_members, now)});
 }
 
 auto on_store_answer(board &it, const store_answer &answer, time_point now,
--- a/src/libdogwoodtrack/carried/watch_duty.cpp
+++ b/src/libdogwoodtrack/carried/watch_duty.cpp
@@ -21,6 +21,8 @@
 /// A balancer that has just started knows too few peers to tell its rank, for
 /// this part.
 constexpr int rank_unknown_part = 30;
+/// and longer when all start at once with a fresh list.
+constexpr int rank_unknown_first_part = 85;
 /// At the first start of the system the seeds read the store, and the others
 /// get this time to hear from them.
 constexpr milliseconds seeds_first{1'500};
@@ -61,12 +63,18 @@
     return it.in_force_within * percent / 100;
 }
 
+auto rank_unknown(const board &it) -> milliseconds {
+    const auto part =
+        it.first_start ? rank_unknown_first_part : rank_unknown_part;
+    return it.in_force_within * part / 100;
+}
+
 auto has_duty(board &it, feed what, time_point now) -> bool {
     const auto &own = version_of(it, what);
     auto &call = call_of(it, what);
     if (own.as_of == 0)
         return now - it.started >= start_delay(it);
-    if (now - it.started < it.in_force_within * rank_unknown_part / 100)
+    if (now - it.started < rank_unknown(it))
         return call.needs_list || (it.first_start && is_seed(it));
     const auto rank = watch_rank(it.members, now);
     if (rank < watchers) {
--- a/src/libstandin/fleet_model_test.cpp
+++ b/src/libstandin/fleet_model_test.cpp
@@ -142,6 +142,20 @@
     CHECK(share(many.in_time, many) > 0.975);
 }
 
+TEST_CASE("a hundred times the balancers: hardly more calls") {
+    model_options options{.balancers = 1,
+                          .upstreams = 20,
+                          .arrivals_per_second = 100,
+                          .length = seconds{15}};
+    const auto few = play(options);
+    options.balancers = 100;
+    const auto many = play(options);
+    check_promises(many);
+    // Two watch in either fleet. Some more calls are made at the start, before
+    // all have heard of the two.
+    CHECK(many.store_calls < 3 * few.store_calls);
+}
+
 TEST_CASE("hanging upstreams: the balancers of a domain find them together") {
     model_options options{.balancers = 20,
                           .upstreams = 40,
