tool: status speaks to balancers on a link that carries bindings

Cause: `dogwoodtrack status` read fields that their /status does not have and ended with an exception. Change: /status names the instance and its flows; the tool says who serves no flows, whose knowledge nobody confirms, and which upstreams are ejected. Test: report_test.cpp.

--- a/src/dogwoodtrack/fleet_commands.cpp
+++ b/src/dogwoodtrack/fleet_commands.cpp
@@ -36,6 +36,33 @@
     return tool_exit::done;
 }
 
+/// What an instance knows of the platform is old after this time, ms.
+constexpr std::int64_t unconfirmed_limit = 10'000;
+
+// Of a balancer on a link that carries bindings.
+auto add_carried_trouble(const ordered_json &status,
+                         std::vector<std::string> &lines) -> void {
+    const auto instance = status.value("instance", std::string("an instance"));
+    if (!status.value("can_serve", false))
+        lines.push_back(instance + " serves no flows: it has reached neither "
+                                   "the platform nor a peer that knows it");
+    for (const auto &[feed, version] : status["feeds"].items()) {
+        const auto age = version.value("unconfirmed_ms", std::int64_t{-1});
+        if (age > unconfirmed_limit)
+            lines.push_back(
+                fmt::format("{}: nobody has confirmed its {} for {} ms; is the "
+                            "platform reachable?",
+                            instance, feed, age));
+    }
+    for (const auto &one : status["upstreams"]) {
+        if (one.value("ejected", false))
+            lines.push_back(
+                fmt::format("upstream {} at {} fails requests and is ejected",
+                            one.value("id", std::string{}),
+                            one.value("address", std::string{})));
+    }
+}
+
 auto trouble_of(const std::vector<instance_answer> &answers)
     -> std::vector<std::string> {
     std::vector<std::string> lines;
@@ -45,6 +72,10 @@
             lines.push_back(it.instance + " does not answer");
             continue;
         }
+        if (it.body.contains("can_serve")) {
+            add_carried_trouble(it.body, lines);
+            continue;
+        }
         for (const auto &condition : it.body["conditions"])
             lines.push_back(
                 fmt::format("{}: {}", condition["service"].get<std::string>(),
@@ -59,7 +90,7 @@
                 std::max(latest[customer], generation.get<std::uint64_t>());
     }
     for (const auto &it : answers) {
-        if (!it.body.is_object())
+        if (!it.body.is_object() || !it.body.contains("contracts"))
             continue;
         for (const auto &[customer, generation] : latest) {
             if (it.body["contracts"].value(customer, std::uint64_t{0}) <
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -289,8 +289,9 @@
                 return http_reply{.body =
                                       metrics_text(it.state, it.metrics, now)};
             if (path == "/status")
-                return http_reply{.body = status_json(it.state, now),
-                                  .type = "application/json"};
+                return http_reply{
+                    .body = status_json(it.state, it.options.name, now),
+                    .type = "application/json"};
             return http_reply{.status = not_found};
         });
 }
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -85,11 +85,15 @@
     return fmt::to_string(out) + metrics.to_prometheus();
 }
 
-auto status_json(const board &it, time_point now) -> std::string {
+auto status_json(const board &it, const std::string &instance, time_point now)
+    -> std::string {
     buffer out;
-    fmt::format_to(std::back_inserter(out),
-                   R"({{"can_serve":{},"leaving":{},"members":{},"feeds":{{)",
-                   can_serve(it), it.leaving, count_live(it.members, now) + 1);
+    fmt::format_to(
+        std::back_inserter(out),
+        R"({{"instance":"{}","can_serve":{},"leaving":{},"flows":{},)"
+        R"("members":{},"feeds":{{)",
+        instance, can_serve(it), it.leaving, it.steering.flows.all.size(),
+        count_live(it.members, now) + 1);
     for (std::size_t i = 0; i < feed_count; ++i)
         fmt::format_to(std::back_inserter(out),
                        R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
--- a/src/libdogwoodtrack/carried/report.hpp
+++ b/src/libdogwoodtrack/carried/report.hpp
@@ -14,6 +14,7 @@
 
 /// What this balancer knows, as one JSON object: versions and their age,
 /// live members, and each upstream with its state and observations.
-auto status_json(const board &it, time_point now) -> std::string;
+auto status_json(const board &it, const std::string &instance, time_point now)
+    -> std::string;
 
 } // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -0,0 +1,29 @@
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "answers.hpp"
+#include "report.hpp"
+#include "test_support.hpp"
+
+using namespace dogwoodtrack;
+using namespace dogwoodtrack::carried;
+using namespace dogwoodtrack::carried::test;
+
+TEST_CASE("status is JSON and names what `dogwoodtrack status` looks at") {
+    auto it = make_board(1);
+    auto &upstreams = it.steering.upstreams;
+    for (int i = 0; i < 5; ++i)
+        apply_record(upstreams, make_record("i-" + std::to_string(i), 7 + i),
+                     start);
+    for (int n = 0; n < 3; ++n)
+        note_outcome(upstreams, 0, request_outcome::error, start);
+    const auto status =
+        nlohmann::json::parse(status_json(it, "balancer-1", start));
+    CHECK(status["instance"] == "balancer-1");
+    CHECK(status["can_serve"] == false);
+    CHECK(status["flows"] == 0);
+    CHECK(status["feeds"]["upstreams"]["unconfirmed_ms"] == -1);
+    CHECK(status["upstreams"][0]["ejected"] == true);
+    CHECK(status["upstreams"][1]["ejected"] == false);
+}
