spread: a starting balancer asks its own failure domain for a whole state first

Change: in the first 1.2 s after its start a balancer leaves whole states to peers of its own domain, if it knows any. Parts of messages that arrive are a topic of their own now (arriving_parts).

--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -2,28 +2,13 @@
 
 #include <array>
 
+#include "arriving_parts.hpp"
 #include "fleet.hpp"
-#include "peer_messages.hpp"
 #include "steering.hpp"
 #include "store.hpp"
 
 namespace dogwoodtrack::carried {
 
-/// A configuration that arrives in parts.
-struct partial_configuration {
-    std::uint64_t revision = 0;
-    std::vector<std::vector<route_terms>> parts;
-    std::size_t missing = 0;
-};
-
-/// A set of records that arrives in parts.
-struct partial_records {
-    std::uint32_t sender = 0;
-    std::uint64_t as_of = 0;
-    std::vector<bool> arrived;
-    std::size_t missing = 0;
-};
-
 /// State of the calls to the store for one feed.
 struct call_state {
     bool under_way = false;
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -15,6 +15,9 @@
 /// The store has this time to answer a balancer that has just started,
 /// before it asks its peers for a state too large to be sent unasked.
 constexpr milliseconds start_patience{300};
+/// A whole state is asked of peers in other failure domains only after this
+/// time since the start, if there are any in the own one.
+constexpr milliseconds near_patience{1'200};
 /// A pull is sent again when nothing of it arrived for this time.
 constexpr milliseconds pull_patience{150};
 /// A state with at most so many upstreams and routes is sent to a starting
@@ -133,6 +136,26 @@
 
 // ---- digests
 
+auto has_near_peer(const fleet &it, time_point now) -> bool {
+    return std::any_of(it.others.begin(), it.others.end(),
+                       [&](const auto &entry) {
+                           return serves_own_domain(it, entry.second, now);
+                       });
+}
+
+auto is_far(const fleet &it, std::uint32_t peer) -> bool {
+    const auto found = it.others.find(peer);
+    return found != it.others.end() &&
+           found->second.failure_domain != it.self.failure_domain;
+}
+
+// Bytes between failure domains are dear, and a whole state is large.
+auto leaves_to_near_peers(const board &it, std::uint32_t from, time_point now)
+    -> bool {
+    return now - it.started < near_patience && is_far(it.members, from) &&
+           has_near_peer(it.members, now);
+}
+
 auto pull(board &it, std::uint32_t from, feed what, time_point now,
           std::vector<outgoing> &out) -> void {
     auto &pulled = it.pulled[static_cast<std::size_t>(what)];
@@ -143,6 +166,8 @@
         now - it.started < start_patience;
     if (starts || now - pulled < pull_patience)
         return;
+    if (!version_of(it, what).complete && leaves_to_near_peers(it, from, now))
+        return;
     pulled = now;
     out.push_back({.to = from,
                    .message = pull_message{
@@ -213,27 +238,6 @@
 
 // ---- records
 
-// Takes note of one part; returns whether all parts have arrived.
-auto note_part(partial_records &arriving, std::uint32_t from,
-               const records_message &message) -> bool {
-    if (message.parts == 1)
-        return true;
-    if (arriving.sender != from || arriving.as_of != message.version.as_of ||
-        arriving.arrived.size() != message.parts)
-        arriving = {.sender = from,
-                    .as_of = message.version.as_of,
-                    .arrived = std::vector<bool>(message.parts),
-                    .missing = message.parts};
-    if (!arriving.arrived[message.part]) {
-        arriving.arrived[message.part] = true;
-        --arriving.missing;
-    }
-    if (arriving.missing > 0)
-        return false;
-    arriving = {};
-    return true;
-}
-
 auto adopt_version(board &it, feed what, const told_version &told,
                    time_point now) -> void {
     auto &own = version_of(it, what);
@@ -275,31 +279,6 @@
     return true;
 }
 
-auto assemble(partial_configuration &arriving, const routes_message &message)
-    -> std::shared_ptr<configuration> {
-    const auto revision = message.settings.revision;
-    if (arriving.revision > revision)
-        return nullptr;
-    if (arriving.revision != revision || arriving.parts.size() != message.parts)
-        arriving = {.revision = revision,
-                    .parts =
-                        std::vector<std::vector<route_terms>>(message.parts),
-                    .missing = message.parts};
-    auto &part = arriving.parts[message.part];
-    if (part.empty() && !message.settings.routes.empty()) {
-        part = message.settings.routes;
-        --arriving.missing;
-    }
-    if (arriving.missing > 0 && !message.settings.routes.empty())
-        return nullptr;
-    auto whole = std::make_shared<configuration>(message.settings);
-    whole->routes.clear();
-    for (auto &routes : arriving.parts)
-        whole->routes.insert(whole->routes.end(), routes.begin(), routes.end());
-    arriving = {};
-    return whole;
-}
-
 auto on_body(board &it, std::uint32_t from, const routes_message &message,
              time_point now, std::vector<outgoing> &out) -> void {
     auto &own = version_of(it, feed::configuration);
--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "spread.hpp"
@@ -120,6 +122,36 @@
     CHECK(in_service(b) == 3'000);
 }
 
+TEST_CASE("start of many: a whole state is asked of the own domain first") {
+    pair_of_boards peers;
+    auto far = make_board(3);
+    far.members.self.failure_domain = 2;
+    for (auto feed_answer : {list_of_configuration(3, 10),
+                             list_of_upstreams({make_record("i-1", 5)}, 10)})
+        take(far, feed_answer, start);
+    auto starting = make_board(4);
+    starting.started = start;
+    know_each_other({&peers.a, &far, &starting});
+    const auto pulls_after_digest = [&](board &from, time_point now) {
+        note_member(from.members, starting.members.self);
+        std::vector<outgoing> digests;
+        std::vector<outgoing> out;
+        send_digests(from, now, digests);
+        for (const auto &one : digests) {
+            if (one.to == starting.members.self.address)
+                on_peer_message(starting, from.members.self.address,
+                                one.message, now, out);
+        }
+        return std::count_if(out.begin(), out.end(), [](const outgoing &it) {
+            return std::holds_alternative<pull_message>(it.message);
+        });
+    };
+    CHECK(pulls_after_digest(far, start + milliseconds{400}) == 0);
+    CHECK(pulls_after_digest(peers.a, start + milliseconds{600}) == 2);
+    // Nobody near answered: any peer will do.
+    CHECK(pulls_after_digest(far, start + milliseconds{1'600}) == 2);
+}
+
 TEST_CASE("a change reaches the peers at once and is confirmed there") {
     pair_of_boards two;
     auto drained = make_record("i-1", 12);
