answers: a balancer that alone ejected an upstream tries it itself

Cause, found by reading: after an ejection that its judge did not share, a balancer waited 15 s for a word from the judge. Change: only ejections that a judge told of are left to the judge's trials. Test in shared_outcomes_test.cpp, which failed before.

--- a/src/libdogwoodtrack/carried/answers.cpp
+++ b/src/libdogwoodtrack/carried/answers.cpp
@@ -57,6 +57,7 @@
         first_ejection * (1 << std::min(seen.ejections, doublings_max)),
         longest_ejection);
     ++seen.ejections;
+    seen.judged_elsewhere = false;
     seen.ejected_until = now + length;
     seen.doubt = doubt_kept;
 }
@@ -122,7 +123,7 @@
 auto take_judgement(upstream &it, const judgement &said, time_point now)
     -> void {
     auto &seen = it.seen;
-    seen.judged_here = false;
+    seen.judged_elsewhere = true;
     seen.ejections = said.ejections;
     seen.ejected_until = now + said.left;
     seen.doubt = said.ejections > 0 ? doubt_kept : 0;
--- a/src/libdogwoodtrack/carried/choice.cpp
+++ b/src/libdogwoodtrack/carried/choice.cpp
@@ -54,13 +54,13 @@
     return !is_ejected(it, now) && now - it.seen.last_trial >= trial_interval;
 }
 
-// Trials of those that failed requests are the judge's, which tells the rest;
+// Trials of those that a judge ejected are the judge's, which tells the rest;
 // a caller whose request cannot be repeated is spared them.
 auto may_try(const upstream &it, request_kind kind, time_point now) -> bool {
     if (!trial_is_due(it, now))
         return false;
     return !is_on_probation(it, now) ||
-           (it.seen.judged_here && kind != request_kind::non_idempotent);
+           (!it.seen.judged_elsewhere && kind != request_kind::non_idempotent);
 }
 
 auto load_after_placing(const upstream &it, const choice_position &position,
--- a/src/libdogwoodtrack/carried/choice.hpp
+++ b/src/libdogwoodtrack/carried/choice.hpp
@@ -26,7 +26,7 @@
 
 /// Chooses an upstream for a new flow: the least loaded for its speed, in the
 /// own failure domain as long as that is not slower. An upstream on probation
-/// is tried by its judge, and only with requests that can be repeated.
+/// is tried by whoever ejected it, and only with requests that can be repeated.
 /// Returns `no_upstream` if none may be used.
 auto choose_upstream(upstream_table &table, const new_flow &wanted,
                      const choice_position &position, time_point now)
--- a/src/libdogwoodtrack/carried/shared_outcomes.cpp
+++ b/src/libdogwoodtrack/carried/shared_outcomes.cpp
@@ -57,10 +57,9 @@
     auto &table = it.steering.upstreams;
     std::vector<judgements_message> messages;
     for (const auto index : std::exchange(table.judged, {})) {
-        auto &one = table.all[index];
-        one.seen.judged_here = judge_of(it.members, one.record.service, now) ==
-                               it.members.self.address;
-        if (one.seen.judged_here)
+        const auto &one = table.all[index];
+        if (judge_of(it.members, one.record.service, now) ==
+            it.members.self.address)
             add_item(messages, told_judgement{.code = one.code,
                                               .said = judgement_of(one, now)});
     }
--- a/src/libdogwoodtrack/carried/shared_outcomes_test.cpp
+++ b/src/libdogwoodtrack/carried/shared_outcomes_test.cpp
@@ -157,6 +157,18 @@
     }
 }
 
+TEST_CASE("an upstream that one balancer alone ejected is tried by it") {
+    domain_of_boards fleet(20);
+    const auto judge = judge_of(fleet.all[0]->members, bookings, start) - 1;
+    const auto other = judge == 0 ? 1 : judge - 1;
+    for (int n = 0; n < 3; ++n) // the judge does not hear of them
+        fail(*fleet.all[other], 4, start);
+    auto &steering = fleet.all[other]->steering;
+    const auto now = start + seconds{4};
+    CHECK(choose(steering, request_kind::non_idempotent, now) != 4);
+    CHECK(choose(steering, request_kind::idempotent, now) == 4);
+}
+
 TEST_CASE("an upstream that answers its judge again is trusted by the domain") {
     domain_of_boards fleet(20);
     for (std::size_t i : {3, 7, 11})
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -46,8 +46,8 @@
     std::uint32_t unanswered = 0; ///< openings without an answer in a row
     float doubt = 0;       ///< grows with failed requests, see `take_outcomes`
     outcome_counts untold; ///< not yet told to the upstream's judge
-    std::uint8_t ejections = 0; ///< since it was last above doubt
-    bool judged_here = false;   ///< this instance ejected it for its domain
+    std::uint8_t ejections = 0;    ///< since it was last above doubt
+    bool judged_elsewhere = false; ///< by its judge's word, not by own flows
     time_point ejected_until{};
     time_point avoid_until{}; ///< gets only single trial flows before
     time_point last_trial{};
