--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -126,8 +126,9 @@
     pair_of_boards peers;
     auto far = make_board(3);
     far.members.self.failure_domain = 2;
-    for (auto feed_answer : {list_of_configuration(3, 10),
-                             list_of_upstreams({make_record("i-1", 5)}, 10)})
+    for (const auto &feed_answer :
+         {list_of_configuration(3, 10),
+          list_of_upstreams({make_record("i-1", 5)}, 10)})
         take(far, feed_answer, start);
     auto starting = make_board(4);
     starting.started = start;
