answers: flows at upstreams that died are reset

Change: a balancer that is sure of the death resets the flows it knows there and every later packet that names the upstream. It is sure when a later incarnation has its place or its address, when the entry is gone and nothing was answered since, or when openings and several flows are silent together while other upstreams of the same failure domain answer. Silence counts anew after a pause of the process and wherever a failure domain is not reached. Requests that must not run twice are reset only when the death is certain.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -182,6 +182,7 @@
     for (const auto ms : std::exchange(steering.flows.answers_ms, {}))
         it.metrics.fill(metric::answer_time, ms);
     sweep_flows(steering.flows, steering.upstreams, sweep_share, now);
+    reset_flows_at_dead_upstreams(it, now);
     tell_outcomes(it, now);
 }
 
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -22,10 +22,10 @@
     std::optional<packet_head> (*read)(std::span<const std::uint8_t> packet);
     /// Writes the binding that the upstream returns to the caller.
     void (*write_binding)(std::span<std::uint8_t> packet, std::uint32_t code);
-    /// Makes the packet that tells the caller of `packet` that its flow does
-    /// not exist. Returns its size.
-    std::size_t (*make_rejection)(std::span<const std::uint8_t> packet,
-                                  std::span<std::uint8_t> out);
+    /// Makes the packet that tells a caller that its flow does not exist.
+    /// `acknowledged` is what the caller last acknowledged. Returns its size.
+    std::size_t (*make_reset)(const flow_ends &ends, std::uint32_t acknowledged,
+                              std::span<std::uint8_t> out);
     /// Writes what names the receiver, right in front of the packet; the
     /// space has `delivery_room` bytes and ends where the packet starts.
     /// Returns the number of bytes written.
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -41,6 +41,9 @@
 /// Takes the packets that have arrived, up to a batch.
 auto take_packets(context &it) -> void;
 
+/// Resets the flows that wait for upstreams that are dead.
+auto reset_flows_at_dead_upstreams(context &it, time_point now) -> void;
+
 /// Decides again about the packets that waited for state, if there is any
 /// now; rejects those that waited too long.
 auto try_waiting_packets(context &it, time_point now) -> void;
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -29,13 +29,12 @@
     ++it.state.counters.forwarded;
 }
 
-auto reject(context &it, std::span<const std::uint8_t> packet,
-            const packet_head &head) -> void {
+auto reset(context &it, const flow_ends &ends, std::uint32_t acknowledged)
+    -> void {
     std::array<std::uint8_t, 64> buf{};
-    const auto size = it.format.make_rejection(packet, buf);
+    const auto size = it.format.make_reset(ends, acknowledged, buf);
     send_datagram(
-        it.link,
-        {.address = head.ends.caller.address, .port = it.options.link.port},
+        it.link, {.address = ends.caller.address, .port = it.options.link.port},
         buf.data(), size);
 }
 
@@ -75,7 +74,7 @@
             remember_opening(it, head, packet, now);
         return forward(it, packet, what, head.opens);
     case verdict_kind::reject:
-        reject(it, packet, head);
+        reset(it, head.ends, head.acknowledged);
         return note_refusal(it, head, what);
     case verdict_kind::drop:
         return note_refusal(it, head, what);
@@ -112,15 +111,35 @@
     for (const auto &one : take_hopeless(it.waiting, now)) {
         if (!one.head.opens)
             continue;
-        reject(it, one.bytes, one.head);
+        reset(it, one.head.ends, one.head.acknowledged);
         note_refusal(
             it, one.head,
             {.kind = verdict_kind::reject, .why = refusal::no_configuration});
     }
 }
 
+auto log_death(const upstream &it, std::size_t flows) -> void {
+    log_event(severity::info, "upstream_dead",
+              {{"upstream", it.record.id},
+               {"address", to_string(it.record.address)},
+               {"superseded", it.death == upstream_death::superseded},
+               {"silent_flows", std::uint64_t{it.seen.silent_flows}},
+               {"openings_unanswered", std::uint64_t{it.seen.unanswered}},
+               {"flows_reset", std::uint64_t{flows}}});
+}
+
 } // namespace
 
+auto reset_flows_at_dead_upstreams(context &it, time_point now) -> void {
+    for (const auto &[index, flows] :
+         take_flows_to_reset(it.state.steering, now)) {
+        log_death(it.state.steering.upstreams.all[index], flows.size());
+        for (const auto &one : flows)
+            reset(it, one.ends, one.acknowledged);
+        it.state.counters.flows_reset += flows.size();
+    }
+}
+
 auto take_packets(context &it) -> void {
     std::array<std::uint8_t, delivery_room + packet_limit> buf;
     const auto now = monotonic::now();
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -26,6 +26,7 @@
         refused{};
     std::uint64_t forwarded = 0;
     std::uint64_t tried_again = 0;
+    std::uint64_t flows_reset = 0; ///< at upstreams that died
     std::uint64_t held = 0;
     std::uint64_t malformed = 0;
     std::uint64_t store_calls = 0;
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds hanging_least{400};
 /// or after this time while the usual time is unknown.
 constexpr milliseconds hanging_unknown{1'500};
+/// A request unanswered for this time is a sign that its upstream is dead.
+constexpr milliseconds silent_after{300};
 constexpr std::size_t answers_kept = 1'024;
 constexpr float service_weight = 0.15F;
 constexpr std::uint32_t served_enough = 4;
@@ -40,13 +42,30 @@
     ++seen.served;
 }
 
-auto note_answered(upstream_table &upstreams, flow &it, time_point now)
-    -> void {
+auto note_alive(upstream_observations &seen, time_point now) -> void {
+    seen.last_answer = now;
+    seen.silent_flows = 0;
+}
+
+auto note_asked(upstream_observations &seen, time_point now) -> void {
+    if (seen.silent_since <= seen.last_answer)
+        seen.silent_since = now;
+}
+
+auto note_answered(flow &it, time_point now) -> void {
     it.stage = flow_stage::answered;
-    if (it.to == no_upstream || it.asked == time_point{})
+    if (it.asked != time_point{})
+        it.answer_ms = milliseconds_between(it.asked, now);
+}
+
+// What the caller acknowledges has come from the upstream.
+auto note_acknowledged(upstream_table &upstreams, flow &it, std::uint32_t bytes,
+                       time_point now) -> void {
+    if (bytes == it.latest_acknowledged)
         return;
-    it.answer_ms = milliseconds_between(it.asked, now);
-    upstreams.all[it.to].seen.last_answer = now;
+    it.latest_acknowledged = bytes;
+    if (it.to != no_upstream)
+        note_alive(upstreams.all[it.to].seen, now);
 }
 
 auto note_opened(flow_table &flows, upstream_table &upstreams, flow &it,
@@ -59,7 +78,7 @@
     count_flow(upstreams, it);
     auto &seen = upstreams.all[it.to].seen;
     seen.unanswered = 0;
-    seen.last_answer = now;
+    note_alive(seen, now);
 }
 
 // The whole answer is known when the caller closes the flow or asks again.
@@ -80,11 +99,6 @@
         flows.answers_ms.push_back(it.answer_ms);
 }
 
-auto close_flow(upstream_table &upstreams, flow &it) -> void {
-    uncount_flow(upstreams, it);
-    it.stage = flow_stage::closed;
-}
-
 auto time_kept(const flow &it) -> milliseconds {
     if (it.stage == flow_stage::closed)
         return closed_kept;
@@ -104,12 +118,25 @@
     return std::max(hanging_least, milliseconds{ms});
 }
 
+// A flow counts once a request, as long as nothing came from its upstream.
+auto note_silence(upstream_table &upstreams, flow &it, time_point now) -> void {
+    if (it.stage != flow_stage::requested || it.silent ||
+        it.to == no_upstream || now - it.asked < silent_after)
+        return;
+    auto &seen = upstreams.all[it.to].seen;
+    if (it.asked <= seen.last_answer)
+        return;
+    it.silent = true;
+    ++seen.silent_flows;
+}
+
 auto inspect(flow_table &flows, upstream_table &upstreams,
              const flow_ends &ends, flow &it, time_point now) -> void {
     if (it.stage == flow_stage::answered && now - it.last >= answered_idle)
         uncount_flow(upstreams, it);
     if (it.stage == flow_stage::opening && now - it.sent >= opening_counted)
         uncount_flow(upstreams, it);
+    note_silence(upstreams, it, now);
     if (it.stage != flow_stage::requested || it.hung ||
         now - it.asked < hanging_least ||
         now - it.asked < hanging_after(flows, ends.service))
@@ -123,10 +150,6 @@
 
 } // namespace
 
-auto endpoint_hash::operator()(const endpoint &it) const -> std::size_t {
-    return hash_pair(it.address, it.port);
-}
-
 auto flow_ends_hash::operator()(const flow_ends &it) const -> std::size_t {
     const auto caller = std::uint64_t{it.caller.address} << 16 | it.caller.port;
     const auto service =
@@ -167,6 +190,15 @@
         --open;
 }
 
+auto is_established(const flow &it) -> bool {
+    return it.stage != flow_stage::opening && it.stage != flow_stage::closed;
+}
+
+auto close_flow(upstream_table &upstreams, flow &it) -> void {
+    uncount_flow(upstreams, it);
+    it.stage = flow_stage::closed;
+}
+
 auto bind_flow(upstream_table &upstreams, flow &it, upstream_index to) -> void {
     uncount_flow(upstreams, it);
     it.to = to;
@@ -182,17 +214,22 @@
     if (it.stage == flow_stage::opening) {
         note_opened(flows, upstreams, it, head.ends.service, now);
         it.acknowledged = head.acknowledged;
+        it.latest_acknowledged = head.acknowledged;
     }
+    note_acknowledged(upstreams, it, head.acknowledged, now);
     if (it.stage == flow_stage::requested &&
         head.acknowledged != it.acknowledged)
-        note_answered(upstreams, it, now);
+        note_answered(it, now);
     if (head.payload > 0 && it.stage != flow_stage::requested) {
         judge_answer(flows, upstreams, it, head, now);
         it.stage = flow_stage::requested;
         it.asked = now;
         it.hung = false;
+        it.silent = false;
         it.acknowledged = head.acknowledged;
         count_flow(upstreams, it);
+        if (it.to != no_upstream)
+            note_asked(upstreams.all[it.to].seen, now);
     }
     if (head.finishes)
         judge_answer(flows, upstreams, it, head, now);
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -46,16 +46,14 @@
     flow_stage stage = flow_stage::opening;
     bool counted = false; ///< counts as open at its upstream
     bool hung = false;    ///< was reported as hanging
+    bool silent = false;  ///< counts as silent at its upstream
     std::uint8_t tries = 0;
     std::uint32_t acknowledged = 0; ///< when the request was sent
-    float answer_ms = 0;            ///< from the request to its first answer
-    time_point sent{};              ///< last opening packet forwarded
-    time_point asked{};             ///< first byte of the request seen
-    time_point last{};              ///< last packet seen
-};
-
-struct endpoint_hash {
-    auto operator()(const endpoint &it) const -> std::size_t;
+    std::uint32_t latest_acknowledged = 0;
+    float answer_ms = 0; ///< from the request to its first answer
+    time_point sent{};   ///< last opening packet forwarded
+    time_point asked{};  ///< first byte of the request seen
+    time_point last{};   ///< last packet seen
 };
 
 struct flow_ends_hash {
@@ -98,6 +96,18 @@
 auto note_packet(flow_table &flows, upstream_table &upstreams, flow &it,
                  const packet_head &head, time_point now) -> void;
 
+/// A flow to be reset, and what its caller last acknowledged.
+struct flow_to_reset {
+    flow_ends ends;
+    std::uint32_t acknowledged = 0;
+};
+
+/// Whether the handshake is done and neither end has closed the flow.
+auto is_established(const flow &it) -> bool;
+
+/// Ends the flow here: late packets of it are still expected.
+auto close_flow(upstream_table &upstreams, flow &it) -> void;
+
 /// Looks at up to `most` flows: drops ended ones and those without packets,
 /// and reports requests without an answer to their upstream.
 auto sweep_flows(flow_table &flows, upstream_table &upstreams, std::size_t most,
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -72,6 +72,7 @@
     const auto &counters = it.counters;
     counter(out, "forwarded_total", counters.forwarded);
     counter(out, "tried_again_total", counters.tried_again);
+    counter(out, "flows_reset_total", counters.flows_reset);
     counter(out, "waited_for_state_total", counters.held);
     counter(out, "malformed_total", counters.malformed);
     counter(out, "store_calls_total", counters.store_calls);
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -1,7 +1,10 @@
 #include "steering.hpp"
 
+#include <algorithm>
 #include <array>
 
+#include "dead_upstreams.hpp"
+
 namespace dogwoodtrack::carried {
 
 namespace {
@@ -89,11 +92,25 @@
     return index_by_code(state.upstreams, binding);
 }
 
+auto kind_of(const steering_state &state, const endpoint &service)
+    -> request_kind {
+    const auto *route =
+        state.in_force ? find_route(*state.in_force, service) : nullptr;
+    return route == nullptr ? request_kind::non_idempotent : route->kind;
+}
+
+auto is_to_reset(const steering_state &state, upstream_index to,
+                 const endpoint &service) -> bool {
+    return to != no_upstream &&
+           may_reset(state.upstreams.all[to], kind_of(state, service));
+}
+
 } // namespace
 
 auto to_string(refusal why) -> std::string_view {
-    static constexpr std::array names{"none", "no_configuration", "no_route",
-                                      "no_upstream", "unknown_binding"};
+    static constexpr std::array names{
+        "none",        "no_configuration", "no_route",
+        "no_upstream", "unknown_binding",  "dead_upstream"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -113,6 +130,12 @@
             state.flows.moved = now;
         known = add_flow(state.flows, head.ends, now);
     }
+    if (!head.finishes && !head.aborts &&
+        is_to_reset(state, to, head.ends.service)) {
+        if (known != nullptr)
+            close_flow(state.upstreams, *known);
+        return refuse(verdict_kind::reject, refusal::dead_upstream);
+    }
     if (known != nullptr) {
         if (known->to != to)
             bind_flow(state.upstreams, *known, to);
@@ -144,4 +167,25 @@
     return forward_to(state, to);
 }
 
+auto take_flows_to_reset(steering_state &state, time_point now)
+    -> std::vector<dead_upstream> {
+    std::vector<dead_upstream> dead;
+    for (const auto index : find_dead_upstreams(state.upstreams, now))
+        dead.push_back({.index = index, .flows = {}});
+    if (dead.empty())
+        return dead;
+    for (auto &[ends, it] : state.flows.all) {
+        const auto at = std::find_if(
+            dead.begin(), dead.end(),
+            [to = it.to](const auto &one) { return one.index == to; });
+        if (at == dead.end() || !is_established(it) ||
+            !is_to_reset(state, it.to, ends.service))
+            continue;
+        close_flow(state.upstreams, it);
+        at->flows.push_back(
+            {.ends = ends, .acknowledged = it.latest_acknowledged});
+    }
+    return dead;
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -22,6 +22,7 @@
     no_route,
     no_upstream,
     unknown_binding,
+    dead_upstream,
     count
 };
 
@@ -57,6 +58,17 @@
 auto steer_again(steering_state &state, const flow_ends &ends, time_point now)
     -> verdict;
 
+/// An upstream that died, and the flows that wait for it in vain.
+struct dead_upstream {
+    upstream_index index = no_upstream;
+    std::vector<flow_to_reset> flows;
+};
+
+/// Upstreams that died since the last call, see `find_dead_upstreams`. Their
+/// flows are closed here; the callers are to be told.
+auto take_flows_to_reset(steering_state &state, time_point now)
+    -> std::vector<dead_upstream>;
+
 /// After this time without an answer an opening packet goes to a second
 /// upstream.
 inline constexpr milliseconds answer_wait{45};
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -1,6 +1,7 @@
 #include "upstreams.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodtrack::carried {
 
@@ -66,6 +67,23 @@
     update_placeable(table, holder);
 }
 
+auto supersede(upstream_table &table, upstream_index index) -> void {
+    table.all[index].death = upstream_death::superseded;
+    table.superseded.push_back(index);
+}
+
+// An address is given to another upstream only after the one that had it has
+// ended.
+auto claim_address(upstream_table &table, upstream_index index) -> void {
+    const auto &it = table.all[index].record;
+    const auto [slot, added] = table.by_address.try_emplace(it.address, index);
+    if (added || slot->second == index)
+        return;
+    const auto &holder = table.all[slot->second].record;
+    if (holder.state == upstream_state::gone || holder.revision < it.revision)
+        supersede(table, std::exchange(slot->second, index));
+}
+
 auto make_slot(upstream_table &table) -> upstream_index {
     if (table.free.empty()) {
         table.all.emplace_back();
@@ -87,6 +105,7 @@
     it.warm_at = now + record.cold_left;
     table.by_id[record.id] = index;
     claim_code(table, index);
+    claim_address(table, index);
     update_placeable(table, index);
 }
 
@@ -127,12 +146,19 @@
     const auto coded = table.by_code.find(it.code);
     if (coded != table.by_code.end() && coded->second == index)
         table.by_code.erase(coded);
+    const auto placed = table.by_address.find(it.record.address);
+    if (placed != table.by_address.end() && placed->second == index)
+        table.by_address.erase(placed);
     it = {};
     table.free.push_back(index);
 }
 
 } // namespace
 
+auto endpoint_hash::operator()(const endpoint &it) const -> std::size_t {
+    return hash_pair(it.address, it.port);
+}
+
 auto binding_code(const upstream_record &record) -> std::uint32_t {
     const auto mixed = hash_pair(hash_label(record.id), record.born);
     const auto code = static_cast<std::uint32_t>(mixed >> 32);
@@ -169,6 +195,8 @@
         return true;
     }
     set_state(table, index, upstream_state::gone, now);
+    if (record.address != known.address)
+        supersede(table, index);
     add(table, record, now);
     return true;
 }
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -34,6 +34,10 @@
     std::uint64_t changed_at = 0; ///< store revision that shows this state
 };
 
+struct endpoint_hash {
+    auto operator()(const endpoint &it) const -> std::size_t;
+};
+
 /// How many requests an upstream failed and answered.
 struct outcome_counts {
     std::uint32_t failures = 0; ///< errors, and requests that hang
@@ -51,9 +55,18 @@
     time_point ejected_until{};
     time_point avoid_until{}; ///< gets only single trial flows before
     time_point last_trial{};
-    time_point last_answer{};
-    float service_ms = 0;     ///< smoothed time from request to answer
-    std::uint32_t served = 0; ///< answers that `service_ms` stands on
+    time_point last_answer{};  ///< last sign of life
+    time_point silent_since{}; ///< first request unanswered since, if later
+    std::uint32_t silent_flows = 0; ///< whose requests wait since then
+    float service_ms = 0;           ///< smoothed time from request to answer
+    std::uint32_t served = 0;       ///< answers that `service_ms` stands on
+};
+
+/// Why an upstream counts as dead.
+enum class upstream_death : std::uint8_t {
+    none,
+    silent,    ///< by what its flows tell, see `find_dead_upstreams`
+    superseded ///< a later incarnation has its place or its address
 };
 
 /// One incarnation of an upstream.
@@ -61,6 +74,7 @@
     upstream_record record;
     std::uint32_t code = 0; ///< what packets of its flows carry
     bool placeable = false; ///< may get new flows
+    upstream_death death = upstream_death::none;
     time_point state_since{};
     time_point warm_at{};
     upstream_observations seen;
@@ -80,11 +94,18 @@
     /// Upstreams that may get new flows, ordered by identifier.
     boost::unordered_flat_map<service_key, std::vector<upstream_index>>
         placeable;
+    /// Latest incarnation at each address.
+    boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
+        by_address;
     std::uint64_t content = 0; ///< highest `changed_at` taken
     /// Upstreams with failures that their judge was not yet told.
     std::vector<upstream_index> failing;
     /// Upstreams ejected, or trusted again, since the list was last taken.
     std::vector<upstream_index> judged;
+    /// Upstreams whose place or address a later incarnation took, since
+    /// `find_dead_upstreams` last looked, and when it did.
+    std::vector<upstream_index> superseded;
+    time_point looked_for_dead{};
 };
 
 /// Code of an incarnation, the same on every balancer, never 0.
