rotation: neighbours tell each other of domains that they do not hear

Change: probes name the domains that the sender's flows do not hear; a neighbour with one silent flow there asks at once.

--- a/src/libdogwoodtrack/carried/dead_upstreams.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.cpp
@@ -79,8 +79,8 @@
     });
 }
 
-auto is_suspected(const domain_views &views, std::uint32_t domain,
-                  time_point now) -> bool {
+auto is_unheard(const domain_views &views, std::uint32_t domain, time_point now)
+    -> bool {
     const auto &view = views.at(domain);
     return view.silent_flows >= silent_flows_least && !answers(view, now) &&
            another_answers(views, domain, now);
@@ -99,15 +99,20 @@
 // A domain stays suspected as long as it is cut off: its balancers are asked.
 auto suspect_domains(upstream_table &table, const domain_views &views,
                      const domain_knowledge &domains, time_point now) -> void {
+    table.unheard_domains =
+        list_domains(views, [&](std::uint32_t domain, const domain_view &) {
+            return domain != domains.own && is_unheard(views, domain, now);
+        });
     const auto before = std::exchange(table.suspected_domains, {});
     table.suspected_domains =
         list_domains(views, [&](std::uint32_t domain, const domain_view &view) {
-            if (domain == domains.own)
+            if (domain == domains.own || answers(view, now))
                 return false;
             const auto stays = contains(before, domain) &&
-                               contains(domains.out_of_reach, domain) &&
-                               !answers(view, now);
-            return stays || is_suspected(views, domain, now);
+                               contains(domains.out_of_reach, domain);
+            const auto told =
+                view.silent_flows > 0 && contains(domains.told_unheard, domain);
+            return stays || told || contains(table.unheard_domains, domain);
         });
 }
 
--- a/src/libdogwoodtrack/carried/dead_upstreams.hpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.hpp
@@ -20,6 +20,8 @@
     std::uint32_t own = 0;
     /// Domains whose balancers do not answer, see `is_out_of_reach`.
     const std::vector<std::uint32_t> &out_of_reach;
+    /// Domains of which balancers of the own one hear nothing.
+    const std::vector<std::uint32_t> &told_unheard;
 };
 
 /// Marks upstreams that died or were cut off, and those that answered after
--- a/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
@@ -163,6 +163,18 @@
     CHECK(it.resets.size() == stuck);
 }
 
+TEST_CASE("beyond a cut: what a neighbour says spares the own silence") {
+    long_flows it(request_kind::idempotent);
+    it.run(seconds{2});
+    it.dark = {0, 1, 2, 3};
+    it.run(milliseconds{500});
+    const auto domain = it.state.upstreams.all[0].record.failure_domain;
+    it.state.told_unheard = {domain};
+    it.state.out_of_reach = {domain};
+    it.run(milliseconds{100});
+    CHECK(it.resets.size() > 0);
+}
+
 TEST_CASE("the cut has healed: flows that waited for nothing are as before") {
     long_flows it(request_kind::idempotent);
     it.run(seconds{2});
--- a/src/libdogwoodtrack/carried/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/peer_fields.hpp
@@ -82,7 +82,8 @@
 enum class probe_field : protozero::pbf_tag_type {
     wants_answer = 1,
     serves = 2,
-    withdrawn = 3
+    withdrawn = 3,
+    unheard_domain = 4
 };
 enum class list_field : protozero::pbf_tag_type { item = 1 };
 enum class outcome_field : protozero::pbf_tag_type {
--- a/src/libdogwoodtrack/carried/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages_read.cpp
@@ -331,6 +331,9 @@
         case probe_field::withdrawn:
             it.withdrawn = in.get_bool();
             break;
+        case probe_field::unheard_domain:
+            it.unheard_domains.push_back(in.get_fixed32());
+            break;
         default:
             in.skip();
         }
--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/probes.cpp
@@ -21,6 +21,8 @@
 /// by anyone; one that said that it leaves, for a shorter one.
 constexpr milliseconds counted_for{15'000};
 constexpr milliseconds leaving_counted_for{2'500};
+/// What a neighbour says of another domain stands for this time.
+constexpr milliseconds told_kept{800};
 /// Probes missed in a row by all that were asked of a domain out of reach.
 constexpr std::uint32_t missed_out_of_reach = 2;
 constexpr milliseconds unheard_out_of_reach{400};
@@ -112,6 +114,9 @@
         count_missed(it);
     it.last_turn = now;
     forget_old(it, now);
+    boost::unordered::erase_if(it.told_unheard, [&](const auto &entry) {
+        return now - entry.second >= told_kept;
+    });
 }
 
 auto begin_turn(probe_table &it, const fleet &members)
@@ -136,6 +141,23 @@
     member.withdrawn = message.withdrawn;
 }
 
+auto note_told_unheard(probe_table &it,
+                       const std::vector<std::uint32_t> &domains,
+                       time_point now) -> void {
+    for (const auto domain : domains)
+        it.told_unheard[domain] = now;
+}
+
+auto told_unheard(const probe_table &it, time_point now)
+    -> std::vector<std::uint32_t> {
+    std::vector<std::uint32_t> domains;
+    for (const auto &[domain, when] : it.told_unheard) {
+        if (now - when < told_kept)
+            domains.push_back(domain);
+    }
+    return domains;
+}
+
 auto reach_of(const probe_table &it, std::uint32_t failure_domain,
               time_point now) -> domain_reach {
     domain_reach reach;
--- a/src/libdogwoodtrack/carried/probes.hpp
+++ b/src/libdogwoodtrack/carried/probes.hpp
@@ -31,6 +31,8 @@
     bool wants_answer = false;
     bool serves = false;
     bool withdrawn = false;
+    /// Failure domains of which the sender's own flows hear nothing.
+    std::vector<std::uint32_t> unheard_domains;
 };
 
 /// Probes of this balancer. One thread at a time.
@@ -40,6 +42,8 @@
     std::size_t next_near = 0;
     /// Other failure domains whose balancers are asked in each turn.
     std::vector<std::uint32_t> watched_domains;
+    /// Failure domains of which neighbours hear nothing, and when they said so.
+    boost::unordered_flat_map<std::uint32_t, time_point> told_unheard;
 };
 
 /// The balancers of a failure domain, as far as probes of the last turns tell.
@@ -66,6 +70,15 @@
                 std::uint32_t failure_domain, const probe_message &message,
                 time_point now) -> void;
 
+/// Takes what a neighbour says of other failure domains.
+auto note_told_unheard(probe_table &it,
+                       const std::vector<std::uint32_t> &domains,
+                       time_point now) -> void;
+
+/// Failure domains of which a neighbour lately heard nothing.
+auto told_unheard(const probe_table &it, time_point now)
+    -> std::vector<std::uint32_t>;
+
 /// What recent probes tell of a failure domain.
 auto reach_of(const probe_table &it, std::uint32_t failure_domain,
               time_point now) -> domain_reach;
--- a/src/libdogwoodtrack/carried/rotation.cpp
+++ b/src/libdogwoodtrack/carried/rotation.cpp
@@ -16,7 +16,8 @@
 auto own_message(const board &it, bool wants_answer) -> probe_message {
     return {.wants_answer = wants_answer,
             .serves = can_serve(it) && !it.leaving,
-            .withdrawn = it.rotation.withdrawn};
+            .withdrawn = it.rotation.withdrawn,
+            .unheard_domains = it.steering.upstreams.unheard_domains};
 }
 
 // This balancer counts as one of those that serve.
@@ -94,6 +95,7 @@
     const auto lost = has_lost_most(it, now);
     decide(it, lost, now);
     it.steering.out_of_reach = domains_out_of_reach(it, now);
+    it.steering.told_unheard = told_unheard(it.probes, now);
     it.probes.watched_domains = domains_to_watch(it, lost);
     for (const auto to : begin_turn(it.probes, it.members))
         out.push_back({.to = to, .message = own_message(it, true)});
@@ -102,8 +104,12 @@
 auto take_probe(board &it, std::uint32_t from, const probe_message &message,
                 time_point now, std::vector<outgoing> &out) -> void {
     const auto known = it.members.others.find(from);
-    if (known != it.members.others.end())
-        note_probe(it.probes, from, known->second.failure_domain, message, now);
+    if (known != it.members.others.end()) {
+        const auto domain = known->second.failure_domain;
+        note_probe(it.probes, from, domain, message, now);
+        if (domain == it.members.self.failure_domain)
+            note_told_unheard(it.probes, message.unheard_domains, now);
+    }
     if (message.wants_answer)
         out.push_back({.to = from, .message = own_message(it, false)});
 }
--- a/src/libdogwoodtrack/carried/rotation_test.cpp
+++ b/src/libdogwoodtrack/carried/rotation_test.cpp
@@ -204,3 +204,18 @@
     REQUIRE(out.size() == 1);
     CHECK(it.probes.members.empty());
 }
+
+TEST_CASE("a neighbour hears nothing of a domain: it is asked, and found cut") {
+    probing_fleet it(3, 3);
+    it.run(seconds{2});
+    it.cut = 2;
+    auto &other = it.all[0].steering.upstreams;
+    other.unheard_domains = {2};
+    it.run(milliseconds{1'000});
+    const auto &neighbour = it.all[3];
+    CHECK(neighbour.steering.told_unheard == std::vector<std::uint32_t>{2});
+    CHECK(it.all[1].steering.told_unheard.empty());
+    other.unheard_domains.clear();
+    it.run(seconds{2});
+    CHECK(neighbour.steering.told_unheard.empty());
+}
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -171,7 +171,8 @@
     -> std::vector<dead_upstream> {
     std::vector<dead_upstream> dead;
     const domain_knowledge domains{.own = state.position.failure_domain,
-                                   .out_of_reach = state.out_of_reach};
+                                   .out_of_reach = state.out_of_reach,
+                                   .told_unheard = state.told_unheard};
     for (const auto index : find_dead_upstreams(state.upstreams, domains, now))
         dead.push_back({.index = index, .flows = {}});
     if (dead.empty())
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -49,6 +49,8 @@
     bool upstreams_known = false;
     /// Failure domains whose balancers do not answer.
     std::vector<std::uint32_t> out_of_reach;
+    /// Failure domains of which neighbours hear nothing.
+    std::vector<std::uint32_t> told_unheard;
 };
 
 /// Decides about one packet of a caller.
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -107,8 +107,10 @@
     /// `find_dead_upstreams` last looked, and when it did.
     std::vector<upstream_index> superseded;
     time_point looked_for_dead{};
-    /// Failure domains of which nothing is heard: upstreams may be dead, or
-    /// the domain may be cut off.
+    /// Failure domains of which the flows here hear nothing.
+    std::vector<std::uint32_t> unheard_domains;
+    /// The same and those that neighbours tell of: their upstreams may be dead,
+    /// or the domain may be cut off.
     std::vector<std::uint32_t> suspected_domains;
     /// Failure domains in which silent upstreams outnumber answering ones.
     std::vector<std::uint32_t> unreached_domains;
