probes: a domain counts as out of reach after two turns

Cause: each of three balancers that are asked by turn had to miss two probes, which takes longer where a domain has more of them. Change: all that were asked missed the last probe, and one of them two.

--- a/src/libdogwoodtrack/carried/dead_upstreams.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.cpp
@@ -19,7 +19,7 @@
 /// can be reached.
 constexpr milliseconds reached_within{1'000};
 /// Silence of a whole failure domain, after which its balancers are asked.
-constexpr milliseconds domain_silence{400};
+constexpr milliseconds domain_silence{300};
 
 /// What flows tell of the upstreams of one failure domain.
 struct domain_view {
--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/probes.cpp
@@ -23,7 +23,8 @@
 constexpr milliseconds leaving_counted_for{2'500};
 /// What a neighbour says of another domain stands for this time.
 constexpr milliseconds told_kept{800};
-/// Probes missed in a row by all that were asked of a domain out of reach.
+/// Probes missed in a row by one of a domain out of reach; each of the others
+/// that were asked missed its last one.
 constexpr std::uint32_t missed_out_of_reach = 2;
 constexpr milliseconds unheard_out_of_reach{400};
 
@@ -174,7 +175,7 @@
 
 auto is_out_of_reach(const probe_table &it, std::uint32_t failure_domain,
                      time_point now) -> bool {
-    auto asked = false;
+    std::uint32_t most_missed = 0;
     for (const auto &[address, member] : it.members) {
         if (member.failure_domain != failure_domain)
             continue;
@@ -182,11 +183,11 @@
             return false;
         if (!is_fresh(member, now))
             continue;
-        if (member.missed < missed_out_of_reach)
+        if (member.missed == 0)
             return false;
-        asked = true;
+        most_missed = std::max(most_missed, member.missed);
     }
-    return asked;
+    return most_missed >= missed_out_of_reach;
 }
 
 } // namespace dogwoodtrack::carried
