--- a/src/dogwoodtrack-scenario/main.cpp
+++ b/src/dogwoodtrack-scenario/main.cpp
@@ -78,6 +78,7 @@
 auto parse_fault(const std::string &text) -> model::fault {
     static const std::map<std::string, model::fault_kind> kinds{
         {"kill", model::fault_kind::kill_balancers},
+        {"freeze", model::fault_kind::freeze_balancers},
         {"store", model::fault_kind::store_away},
         {"crash", model::fault_kind::crash_upstreams},
         {"hang", model::fault_kind::hang_upstreams},
@@ -130,7 +131,7 @@
     play->add_option("--length", it.length_s, "Seconds of traffic")
         ->capture_default_str();
     play->add_option("--fault", it.faults,
-                     "kill, store, crash, errors, hang, drain, cut or "
+                     "kill, freeze, store, crash, errors, hang, drain, cut or "
                      "configuration, as KIND@SECOND+LASTS*SHARE");
     return play;
 }
--- a/src/libstandin/fleet_model.cpp
+++ b/src/libstandin/fleet_model.cpp
@@ -20,6 +20,8 @@
         {"hung", report.hung},
         {"shed", report.shed},
         {"resets", report.resets},
+        {"freed", report.freed},
+        {"withdrawals", report.withdrawals},
         {"store_calls", report.store_calls},
         {"peer_messages", report.peer_messages},
         {"late_placements", report.late_placements},
--- a/src/libstandin/fleet_model.hpp
+++ b/src/libstandin/fleet_model.hpp
@@ -9,13 +9,14 @@
 
 /// What goes wrong in a modelled fleet.
 enum class fault_kind {
-    kill_balancers,  ///< they lose all they know and start again after it
-    store_away,      ///< calls fail; entries of upstreams vanish meanwhile
-    crash_upstreams, ///< silent; their entries vanish after a while
-    fail_upstreams,  ///< answer each request with an error at once
-    hang_upstreams,  ///< take requests and never answer them
-    drain_upstreams, ///< say that they leave
-    cut_domain,      ///< one failure domain reaches only itself and callers
+    kill_balancers,   ///< they lose all they know and start again after it
+    freeze_balancers, ///< of the first domain only: they stand still
+    store_away,       ///< calls fail; entries of upstreams vanish meanwhile
+    crash_upstreams,  ///< silent; their entries vanish after a while
+    fail_upstreams,   ///< answer each request with an error at once
+    hang_upstreams,   ///< take requests and never answer them
+    drain_upstreams,  ///< say that they leave
+    cut_domain,       ///< one failure domain reaches only itself and callers
     new_configuration
 };
 
@@ -54,7 +55,10 @@
     std::size_t errors = 0; ///< answers of failing upstreams, retried or not
     std::size_t hung = 0;   ///< requests that an upstream never answered
     std::size_t shed = 0;   ///< requests that found an upstream's queue full
-    std::size_t resets = 0; ///< of established flows by balancers
+    std::size_t resets = 0; ///< of flows whose upstream lives, by balancers
+    /// Resets of flows whose upstream was dead or beyond a cut.
+    std::size_t freed = 0;
+    std::size_t withdrawals = 0; ///< of balancers from rotation
     std::size_t store_calls = 0;
     std::size_t peer_messages = 0;
     std::size_t late_placements = 0; ///< on leaving upstreams, past the bound
--- a/src/libstandin/fleet_model_test.cpp
+++ b/src/libstandin/fleet_model_test.cpp
@@ -99,6 +99,48 @@
     CHECK(share(report.in_time, report) > 0.96);
 }
 
+TEST_CASE("most of a domain frozen: its callers go to domains that work") {
+    struct size {
+        unsigned balancers;
+        unsigned upstreams;
+    };
+    for (const auto &[balancers, upstreams] : {size{3, 5}, size{27, 50}}) {
+        const auto report =
+            play({.balancers = balancers,
+                  .upstreams = upstreams,
+                  .faults = {{.kind = fault_kind::freeze_balancers,
+                              .at = soon,
+                              .lasts = seconds{5},
+                              .share = 0.67}}});
+        check_promises(report);
+        CHECK(report.withdrawals >= balancers / 3);
+        CHECK(share(report.failed, report) < 0.002);
+        CHECK(share(report.in_time, report) > 0.94);
+    }
+}
+
+TEST_CASE("most of a domain frozen that is cut off: nobody withdraws") {
+    const auto report = play(
+        {.faults = {
+             {.kind = fault_kind::cut_domain, .at = soon, .lasts = seconds{6}},
+             {.kind = fault_kind::freeze_balancers,
+              .at = soon + seconds{1},
+              .lasts = seconds{4},
+              .share = 0.67}}});
+    CHECK(report.withdrawals == 0);
+    CHECK(report.resets == 0);
+}
+
+TEST_CASE("half of a domain frozen: no needless withdrawal") {
+    const auto report = play({.balancers = 4,
+                              .faults = {{.kind = fault_kind::freeze_balancers,
+                                          .at = soon,
+                                          .lasts = seconds{5},
+                                          .share = 0.5}}});
+    check_promises(report);
+    CHECK(report.withdrawals == 0);
+}
+
 TEST_CASE("leaving upstreams get no new flows after the bound") {
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
         const auto report =
--- a/src/libstandin/fleet_world.cpp
+++ b/src/libstandin/fleet_world.cpp
@@ -82,6 +82,8 @@
     switch (it.kind) {
     case fault_kind::kill_balancers:
         return kill(part_of(balancers_.size(), it.share), it.lasts);
+    case fault_kind::freeze_balancers:
+        return freeze(it);
     case fault_kind::store_away:
         return take_store_away(it.lasts);
     case fault_kind::crash_upstreams:
@@ -113,6 +115,16 @@
     });
 }
 
+auto world::freeze(const fault &it) -> void {
+    const auto frozen = balancers_of(0, false);
+    const auto n = part_of(frozen.size(), it.share);
+    for (std::size_t i = 0; i < n; ++i) {
+        balancers_[frozen[i]].frozen = true;
+        after(it.lasts,
+              [this, at = frozen[i]] { balancers_[at].frozen = false; });
+    }
+}
+
 auto world::kill(std::size_t n, milliseconds down) -> void {
     for (std::size_t i = 0; i < n; ++i) {
         auto &it = balancers_[i];
@@ -175,6 +187,7 @@
                                   static_cast<double>(hosts_.size()) /
                                   static_cast<double>(sum);
     for (const auto &it : balancers_) {
+        report_.withdrawals += it.state.counters.withdrawals;
         const auto &current = it.state.steering.in_force;
         if (!current || current->revision != configuration_.revision)
             ++report_.stale_balancers;
--- a/src/libstandin/fleet_world.hpp
+++ b/src/libstandin/fleet_world.hpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <random>
 
+#include "carried/rotation.hpp"
 #include "carried/shared_outcomes.hpp"
 #include "carried/spread.hpp"
 #include "carried/steering.hpp"
@@ -20,6 +21,9 @@
 
 inline constexpr milliseconds step_interval{10};
 inline constexpr milliseconds rotation_interval{500};
+/// Checks missed in a row by a balancer that leaves rotation.
+inline constexpr unsigned checks_missed = 2;
+inline constexpr milliseconds tick_interval{100};
 inline constexpr milliseconds to_caller{3};
 inline constexpr milliseconds to_upstream{1};
 inline constexpr milliseconds store_time{4};
@@ -55,10 +59,13 @@
 struct balancer {
     board state;
     bool up = true;
+    bool frozen = false;
     bool in_rotation = false;
+    unsigned missed = 0; ///< checks of the fabric in a row
     std::uint64_t incarnation = 1;
     std::uint64_t newest_configuration = 0;
     time_point next_digest{};
+    time_point next_look{}; ///< for dead upstreams
     std::vector<std::pair<time_point, std::function<void()>>> held;
 };
 
@@ -74,6 +81,13 @@
 
 using request_ptr = std::shared_ptr<request>;
 
+/// A request at one incarnation of an upstream.
+struct asked_request {
+    request_ptr request;
+    std::size_t host = 0;
+    std::uint64_t born = 0;
+};
+
 /// One play. The callers, the store and the upstreams are played by the
 /// functions below; each balancer is a board with the real decision code.
 class world {
@@ -153,6 +167,18 @@
 
     auto tick(balancer &it) -> void;
 
+    /// Whether the balancer takes packets and messages.
+    static auto runs(const balancer &it) -> bool;
+
+    auto free_callers(std::size_t i) -> void;
+
+    auto note_reset(const flow_ends &ends, std::size_t i) -> void;
+
+    auto balancers_of(unsigned domain, bool only_in_rotation) const
+        -> std::vector<std::size_t>;
+
+    auto freeze(const fault &it) -> void;
+
     auto check_rotation() -> void;
 
     auto pick_balancer(const request &it) const -> std::size_t;
@@ -212,6 +238,8 @@
     std::uint64_t order_ = 0;
     std::vector<balancer> balancers_;
     std::vector<host> hosts_;
+    /// Requests that wait for an answer, by their callers' ends.
+    std::map<std::pair<std::uint32_t, std::uint16_t>, asked_request> asked_;
     std::vector<waiting_call> watches_;
     std::map<std::string, upstream_record> entries_;
     std::vector<upstream_record> history_;
