upstreams: the late removal of an entry does not supersede its successor

A removal raises the revision, so the live upstream was taken for the earlier one, and its flows were reset. Change: a record of a vanished entry claims no address. Test: 'a late record of an upstream that left: its successor lives' failed before, passes now.

--- a/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
@@ -258,6 +258,18 @@
     CHECK(table.superseded.empty());
 }
 
+TEST_CASE("a late record of an upstream that left: its successor lives") {
+    upstream_table table;
+    auto left = make_record("i-1", 9);
+    left.state = upstream_state::gone;
+    auto successor = make_record("i-2", 5);
+    successor.address = left.address;
+    apply_record(table, successor, start);
+    apply_record(table, left, start);
+    CHECK(table.all[table.by_id.at("i-2")].death == upstream_death::none);
+    CHECK(table.superseded.empty());
+}
+
 TEST_CASE("the entry is gone: dead after silence, alive while it answers") {
     long_flows it(request_kind::idempotent);
     it.run(seconds{1});
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -79,8 +79,10 @@
     const auto [slot, added] = table.by_address.try_emplace(it.address, index);
     if (added || slot->second == index)
         return;
-    const auto &holder = table.all[slot->second].record;
-    if (holder.state == upstream_state::gone || holder.revision < it.revision)
+    // The removal of an entry comes late: it does not tell when the address
+    // was free.
+    if (it.state < upstream_state::lapsed &&
+        table.all[slot->second].record.revision < it.revision)
         supersede(table, std::exchange(slot->second, index));
 }
 
