rotation: a few answers do not stand for a large domain

Cause: in the model, 7 of 81 balancers that start together withdrew for a second, as the four to seven neighbours they had asked had no state yet. Change: at least eight neighbours, or all, have to be asked lately.

--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/probes.cpp
@@ -102,6 +102,7 @@
         most = near_asked_in_doubt;
     ask(it, near, it.next_near, most, domain, asked);
     it.next_near += std::min(most, near.size());
+    it.near_known = near.size();
 }
 
 } // namespace
--- a/src/libdogwoodtrack/carried/probes.hpp
+++ b/src/libdogwoodtrack/carried/probes.hpp
@@ -40,6 +40,7 @@
     boost::unordered_flat_map<std::uint32_t, probed_member> members;
     time_point last_turn{};
     std::size_t next_near = 0;
+    std::size_t near_known = 0; ///< balancers of the own domain, without this
     /// Other failure domains whose balancers are asked in each turn.
     std::vector<std::uint32_t> watched_domains;
     /// Failure domains of which neighbours hear nothing, and when they said so.
--- a/src/libdogwoodtrack/carried/rotation.cpp
+++ b/src/libdogwoodtrack/carried/rotation.cpp
@@ -12,6 +12,8 @@
 constexpr unsigned turns_to_withdraw = 2;
 constexpr unsigned turns_to_return = 5;
 constexpr unsigned turns_without_others = 2;
+/// Balancers of a large domain that have to be asked lately.
+constexpr std::size_t sample_least = 8;
 
 auto own_message(const board &it, bool wants_answer) -> probe_message {
     return {.wants_answer = wants_answer,
@@ -20,9 +22,12 @@
             .unheard_domains = it.steering.upstreams.unheard_domains};
 }
 
-// This balancer counts as one of those that serve.
+// This balancer counts as one of those that serve. A few answers do not
+// stand for a large domain.
 auto has_lost_most(const board &it, time_point now) -> bool {
     const auto near = reach_of(it.probes, it.members.self.failure_domain, now);
+    if (near.asked < std::min(it.probes.near_known, sample_least))
+        return false;
     return (near.serving + 1) * 2 < near.asked + 1;
 }
 
