--- a/src/include/dogwoodtrack/types.hpp
+++ b/src/include/dogwoodtrack/types.hpp
@@ -11,9 +11,20 @@
 
 namespace dogwoodtrack {
 
-/// The monotonic clock every decision is made against. Functions take `now`
-/// as an argument, so that tests inject it.
-using monotonic = std::chrono::steady_clock;
+/// The monotonic clock every decision is made against. It counts the time in
+/// which the machine was suspended, so that what was allowed before it is
+/// seen to have expired. Functions take `now` as an argument, so that tests
+/// inject it.
+struct monotonic {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<monotonic>;
+    static constexpr bool is_steady = true;
+
+    /// Thread safe.
+    static auto now() noexcept -> time_point;
+};
 using time_point = monotonic::time_point;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -25,8 +25,6 @@
 constexpr int message_batch = 64;
 constexpr milliseconds tick_interval{100};
 constexpr std::size_t sweep_share = 256;
-/// A configuration confirmed within this time counts as current.
-constexpr milliseconds current_for{3'000};
 /// Planned stop: nobody sends packets any more after this much silence.
 constexpr milliseconds stop_silence{700};
 /// The fabric needs this long to notice that this balancer leaves.
@@ -175,8 +173,8 @@
     it.next_tick = now + tick_interval;
     auto &steering = it.state.steering;
     const auto &version = version_of(it.state, feed::configuration);
-    steering.configuration_current =
-        version.complete && now - version.confirmed < current_for;
+    steering.configuration_confirmed =
+        version.complete ? version.confirmed : time_point{};
     update_position(it, now);
     expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
                      now);
@@ -365,6 +363,7 @@
               {{"link", to_string(options.link)},
                {"failure_domain", options.failure_domain}});
     serve(it, stop, ready);
+    reject_waiting(it);
     loop.remove(it.link);
     loop.remove(it.peers);
     close(it.link);
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -48,6 +48,9 @@
 /// now; rejects those that waited too long.
 auto try_waiting_packets(context &it, time_point now) -> void;
 
+/// Rejects all opening packets that wait, as this process ends.
+auto reject_waiting(context &it) -> void;
+
 /// Sends opening packets that got no answer to a second upstream, before the
 /// caller's own copy would arrive.
 auto try_openings_again(context &it, time_point now) -> void;
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -105,17 +105,20 @@
         carry_out(it, packet, *head, what, now);
 }
 
-// Opening packets that waited in vain are rejected, so that their callers
-// may try again at once; other packets are sent again by their callers.
+// The caller of an opening packet that waited in vain may try again at once;
+// other packets are sent again by their callers.
+auto reject_opening(context &it, const waiting_packet &waited) -> void {
+    if (!waited.head.opens)
+        return;
+    reset(it, waited.head.ends, waited.head.acknowledged);
+    note_refusal(
+        it, waited.head,
+        {.kind = verdict_kind::reject, .why = refusal::no_configuration});
+}
+
 auto give_up_hopeless(context &it, time_point now) -> void {
-    for (const auto &one : take_hopeless(it.waiting, now)) {
-        if (!one.head.opens)
-            continue;
-        reset(it, one.head.ends, one.head.acknowledged);
-        note_refusal(
-            it, one.head,
-            {.kind = verdict_kind::reject, .why = refusal::no_configuration});
-    }
+    for (const auto &one : take_hopeless(it.waiting, now))
+        reject_opening(it, one);
 }
 
 auto to_string(upstream_death why) -> std::string {
@@ -180,6 +183,11 @@
     }
 }
 
+auto reject_waiting(context &it) -> void {
+    for (const auto &one : std::exchange(it.waiting.all, {}))
+        reject_opening(it, one);
+}
+
 auto try_openings_again(context &it, time_point now) -> void {
     std::array<std::uint8_t, delivery_room + 64> buf;
     while (!it.openings.empty() && it.openings.front().due <= now) {
--- /dev/null
+++ b/src/libdogwoodtrack/carried/balancer_test.cpp
@@ -0,0 +1,139 @@
+#include <array>
+#include <atomic>
+#include <cstring>
+#include <ctime>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <doctest/doctest.h>
+
+#include "balancer.hpp"
+#include "sockets.hpp"
+#include "test_support.hpp"
+
+using namespace dogwoodtrack;
+using namespace dogwoodtrack::carried;
+using namespace dogwoodtrack::carried::test;
+
+namespace {
+
+/// A store that never answers.
+class silent_store final : public store_port {
+public:
+    auto start(const store_call &, time_point) -> void override {}
+    auto take(time_point) -> std::vector<store_answer> override {
+        return {};
+    }
+    auto next_deadline() const -> time_point override {
+        return time_point::max();
+    }
+};
+
+// Packets of the tests: one letter and the caller's port.
+auto read_packet(std::span<const std::uint8_t> packet)
+    -> std::optional<packet_head> {
+    if (packet.size() < 3)
+        return std::nullopt;
+    auto head = opening(static_cast<std::uint16_t>(packet[1] << 8 | packet[2]));
+    head.ends.caller.address = INADDR_LOOPBACK;
+    head.opens = packet[0] == 'o';
+    return head;
+}
+
+auto make_reset(const flow_ends &ends, std::uint32_t,
+                std::span<std::uint8_t> out) -> std::size_t {
+    out[0] = 'r';
+    out[1] = static_cast<std::uint8_t>(ends.caller.port >> 8);
+    out[2] = static_cast<std::uint8_t>(ends.caller.port);
+    return 3;
+}
+
+const packet_format letters{
+    .read = read_packet,
+    .write_binding = [](std::span<std::uint8_t>, std::uint32_t) {},
+    .make_reset = make_reset,
+    .write_delivery = [](std::span<std::uint8_t>,
+                         std::uint64_t) { return std::size_t{0}; }};
+
+// A socket on loopback; the kernel chooses the port.
+auto open_socket(endpoint &local, int type = SOCK_DGRAM) -> int {
+    const auto fd = socket(AF_INET, type, 0);
+    local.address = INADDR_LOOPBACK;
+    REQUIRE(bind_to(fd, local));
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    getsockname(fd, reinterpret_cast<sockaddr *>(&bound), &size);
+    local.port = ntohs(bound.sin_port);
+    return fd;
+}
+
+auto free_port(int type = SOCK_DGRAM) -> endpoint {
+    endpoint local;
+    close(open_socket(local, type));
+    return local;
+}
+
+// Listens last of all that a balancer opens.
+auto wait_for_listener(const endpoint &at) -> void {
+    const auto address = socket_address(at);
+    for (auto connected = false; !connected;) {
+        const auto fd = socket(AF_INET, SOCK_STREAM, 0);
+        connected = connect(fd, reinterpret_cast<const sockaddr *>(&address),
+                            sizeof address) == 0;
+        close(fd);
+        std::this_thread::yield();
+    }
+}
+
+} // namespace
+
+TEST_CASE("planned stop: openings that still wait are rejected, not dropped") {
+    // Callers and balancer use one port, at two addresses of loopback.
+    endpoint caller;
+    const auto fd = open_socket(caller);
+    const endpoint link{.address = INADDR_LOOPBACK + 1, .port = caller.port};
+    balancer_options options{.name = "b",
+                             .failure_domain = "one",
+                             .link = link,
+                             .peers = free_port(),
+                             .operators = free_port(SOCK_STREAM),
+                             .seeds = {},
+                             .stop_deadline = milliseconds{300},
+                             .reload = {}};
+    silent_store store;
+    event_loop loop;
+    std::atomic<bool> stop{false};
+    std::atomic<bool> ready{false};
+    std::thread balancer([&] {
+        CHECK(run_balancer(options, letters, store, loop, stop, ready));
+    });
+    wait_for_listener(options.operators);
+    constexpr std::size_t openings = 20;
+    for (std::size_t i = 0; i < openings; ++i) {
+        const std::array<std::uint8_t, 3> packet{'o', 1,
+                                                 static_cast<std::uint8_t>(i)};
+        send_datagram(fd, link, packet.data(), packet.size());
+    }
+    stop = true;
+    balancer.join();
+    std::size_t rejected = 0;
+    std::array<std::uint8_t, 64> buf;
+    while (recv(fd, buf.data(), buf.size(), MSG_DONTWAIT) > 0)
+        rejected += buf[0] == 'r' ? 1 : 0;
+    CHECK(rejected == openings);
+    close(fd);
+}
+
+TEST_CASE("the clock of decisions counts the time of a suspended machine") {
+    timespec boot{};
+    clock_gettime(CLOCK_BOOTTIME, &boot);
+    const auto expected =
+        seconds{boot.tv_sec} + std::chrono::nanoseconds{boot.tv_nsec};
+    const auto now = monotonic::now().time_since_epoch();
+    CHECK(now >= expected);
+    CHECK(now < expected + seconds{5});
+    // A machine that was never suspended shows no difference in time, but the
+    // type does.
+    CHECK_FALSE(std::is_same_v<monotonic, std::chrono::steady_clock>);
+}
--- a/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
@@ -27,7 +27,7 @@
         auto settings = make_configuration(1);
         settings->routes.front().kind = kind;
         state.in_force = settings;
-        state.configuration_current = true;
+        state.configuration_confirmed = start;
         state.upstreams_known = true;
         state.position.failure_domain = 1;
         for (std::uint32_t i = 0; i < 8; ++i)
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -29,6 +29,9 @@
     std::uint16_t payload = 0;
 };
 
+/// After this time without an answer a caller's attempt to open a flow ends.
+inline constexpr milliseconds attempt_longest{1'400};
+
 /// How far a flow has come, as seen from the caller's packets.
 enum class flow_stage : std::uint8_t {
     opening,   ///< no answer seen
--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -263,3 +263,30 @@
     const auto bad = encode(wrong);
     CHECK_FALSE(decode_peer_message({bad.data(), bad.size()}));
 }
+
+TEST_CASE(
+    "restart: an upstream that left is used no more once a peer says so") {
+    auto it = make_board(1);
+    std::vector<outgoing> out;
+    // The first list may be seconds old.
+    auto stale = list_of_upstreams(
+        {make_record("i-left", 5), make_record("i-stays", 6)}, 10);
+    stale.may_be_stale = true;
+    on_store_answer(it, stale, start, out);
+    auto &table = it.steering.upstreams;
+    REQUIRE(table.all[table.by_id.at("i-left")].placeable);
+    auto left = make_record("i-left", 12);
+    left.state = upstream_state::gone;
+    const records_message told{.from = 10,
+                               .version = {.content = 12,
+                                           .as_of = 12,
+                                           .age = milliseconds{0},
+                                           .complete = true},
+                               .records = {left}};
+    on_peer_message(it, 2, told, start + milliseconds{50}, out);
+    CHECK_FALSE(table.all[table.by_id.at("i-left")].placeable);
+    // Neither an older list nor an older record brings it back.
+    on_store_answer(it, stale, start + milliseconds{60}, out);
+    CHECK_FALSE(table.all[table.by_id.at("i-left")].placeable);
+    CHECK(table.all[table.by_id.at("i-stays")].placeable);
+}
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -50,6 +50,21 @@
     return forward_to(state, to);
 }
 
+// Asked when the decision is made: a process may have been paused since its
+// last look at the clock.
+auto is_current(const steering_state &state, time_point now) -> bool {
+    return state.configuration_confirmed != time_point{} &&
+           now - state.configuration_confirmed < current_for;
+}
+
+// A caller that uses its port again opens a new flow; copies of the opening
+// packet come earlier.
+auto is_another_flow(const flow &it, const packet_head &head, time_point now)
+    -> bool {
+    return it.stage == flow_stage::closed ||
+           (head.copy == 0 && now - it.sent >= attempt_longest);
+}
+
 auto restart(steering_state &state, flow &it) -> void {
     uncount_flow(state.upstreams, it);
     it = {};
@@ -61,11 +76,11 @@
         return refuse(verdict_kind::hold, refusal::no_configuration);
     const auto *route = find_route(*state.in_force, head.ends.service);
     if (route == nullptr)
-        return refuse(state.configuration_current ? verdict_kind::reject
-                                                  : verdict_kind::drop,
+        return refuse(is_current(state, now) ? verdict_kind::reject
+                                             : verdict_kind::drop,
                       refusal::no_route);
     auto *known = find_flow(state.flows, head.ends);
-    if (known != nullptr && known->stage == flow_stage::closed)
+    if (known != nullptr && is_another_flow(*known, head, now))
         restart(state, *known);
     if (known == nullptr || known->to == no_upstream)
         return place(state, head, *route, known, now);
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -43,9 +43,9 @@
     upstream_table upstreams;
     flow_table flows;
     choice_position position;
-    /// Whether the configuration is known to be the store's latest, so that
-    /// an unknown address may be rejected.
-    bool configuration_current = false;
+    /// When the configuration was last known to be the store's latest: an
+    /// unknown address is rejected only within `current_for` of it.
+    time_point configuration_confirmed{};
     bool upstreams_known = false;
     /// Failure domains whose balancers do not answer.
     std::vector<std::uint32_t> out_of_reach;
@@ -62,6 +62,9 @@
 auto steer_again(steering_state &state, const flow_ends &ends, time_point now)
     -> verdict;
 
+/// A configuration confirmed within this time counts as current.
+inline constexpr milliseconds current_for{3'000};
+
 /// An upstream that died, and the flows that wait for it in vain.
 struct dead_upstream {
     upstream_index index = no_upstream;
--- a/src/libdogwoodtrack/carried/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/steering_test.cpp
@@ -13,7 +13,7 @@
 auto make_state(std::size_t upstreams) -> steering_state {
     steering_state it;
     it.in_force = make_configuration(1);
-    it.configuration_current = true;
+    it.configuration_confirmed = start;
     it.upstreams_known = true;
     it.position.failure_domain = 1;
     for (std::size_t i = 0; i < upstreams; ++i)
@@ -58,7 +58,7 @@
     auto head = opening(7);
     head.ends.service.port = 9;
     CHECK(steer(state, head, start).kind == verdict_kind::reject);
-    state.configuration_current = false;
+    state.configuration_confirmed = {};
     CHECK(steer(state, head, start).kind == verdict_kind::drop);
 }
 
@@ -264,3 +264,28 @@
         CHECK(steer(state, opening(port), start).kind == verdict_kind::forward);
     CHECK(state.flows.all.size() == 3);
 }
+
+TEST_CASE("paused process: what it knew before does not reject a new address") {
+    auto state = make_state(2);
+    state.configuration_confirmed = start;
+    auto head = opening(7);
+    head.ends.service.port = 9;
+    CHECK(steer(state, head, start + seconds{1}).kind == verdict_kind::reject);
+    // The first packet after the pause, before anything else is looked at.
+    CHECK(steer(state, head, start + seconds{10}).kind == verdict_kind::drop);
+}
+
+TEST_CASE("a port used again: the new flow goes to no upstream that leaves") {
+    auto state = make_state(2);
+    const auto first = steer(state, opening(7), start);
+    steer(state, later(7, first.code, 100), start + milliseconds{5});
+    auto leaving = state.upstreams.all[first.to].record;
+    leaving.state = upstream_state::draining;
+    leaving.revision = 50;
+    apply_record(state.upstreams, leaving, start + seconds{1});
+    const auto copy = steer(state, opening(7, 1), start + milliseconds{1'200});
+    CHECK(copy.to == first.to);
+    const auto again = steer(state, opening(7), start + seconds{6});
+    REQUIRE(again.kind == verdict_kind::forward);
+    CHECK(again.to != first.to);
+}
--- a/src/libdogwoodtrack/carried/waiting.hpp
+++ b/src/libdogwoodtrack/carried/waiting.hpp
@@ -35,9 +35,7 @@
 auto take_hopeless(waiting_room &room, time_point now)
     -> std::vector<waiting_packet>;
 
-/// After this time without an answer a caller's attempt ends.
-inline constexpr milliseconds attempt_longest{1'400};
-/// Part of it that the opening packet and its answer need.
+/// Part of `attempt_longest` that the opening packet and its answer need.
 inline constexpr milliseconds opening_time{150};
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/types.cpp
+++ b/src/libdogwoodtrack/types.cpp
@@ -4,12 +4,20 @@
 #include <charconv>
 #include <cmath>
 #include <cstring>
+#include <ctime>
 
 #include <fmt/format.h>
 #include <xxhash.h>
 
 namespace dogwoodtrack {
 
+auto monotonic::now() noexcept -> time_point {
+    timespec it{};
+    clock_gettime(CLOCK_BOOTTIME, &it);
+    return time_point{seconds{it.tv_sec} +
+                      std::chrono::nanoseconds{it.tv_nsec}};
+}
+
 auto to_string(const endpoint &value) -> std::string {
     return fmt::format(
         "{}.{}.{}.{}:{}", value.address >> 24, (value.address >> 16) & 0xff,
--- a/src/libstandin/fleet_world_balancers.cpp
+++ b/src/libstandin/fleet_world_balancers.cpp
@@ -69,8 +69,8 @@
 auto world::tick(balancer &it) -> void {
     auto &steering = it.state.steering;
     const auto &version = version_of(it.state, feed::configuration);
-    steering.configuration_current =
-        version.complete && now_ - version.confirmed < options_.bound;
+    steering.configuration_confirmed =
+        version.complete ? version.confirmed : time_point{};
     const auto own = rank_in_domain(it.state.members, now_);
     steering.position.rank = own.rank;
     steering.position.count = own.count;
