members: balancers that start at once do not place alike

One that has just started knows no other balancers, so 295 took rank 0 and placed on the same upstreams first, which shed what they could not queue. Change: for four seconds after the start the place comes from a hash of the own address.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -121,7 +121,7 @@
 // ---- time
 
 auto update_position(context &it, time_point now) -> void {
-    const auto own = rank_in_domain(it.state.members, now);
+    const auto own = rank_in_domain(it.state.members, it.state.started, now);
     auto &position = it.state.steering.position;
     position.rank = own.rank;
     position.count = own.count;
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/fleet.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint16_t middle_capacity = 80;
 /// Purpose of the order in which balancers watch the store.
 constexpr std::uint64_t watching = 1;
+/// Purpose of the places of balancers that have just started.
+constexpr std::uint64_t placing = 2;
 
 auto size_class(const fleet_member &it) -> int {
     if (it.capacity >= large_capacity)
@@ -157,7 +159,12 @@
            is_live(it, member, now);
 }
 
-auto rank_in_domain(const fleet &it, time_point now) -> domain_rank {
+auto rank_in_domain(const fleet &it, time_point started, time_point now)
+    -> domain_rank {
+    if (now - started < members_unknown)
+        return {.rank = static_cast<std::uint32_t>(
+                    hash_pair(it.self.address, placing) % places),
+                .count = places};
     domain_rank own;
     for (const auto &[address, member] : it.others) {
         if (!serves_own_domain(it, member, now))
--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -97,6 +97,15 @@
     std::uint32_t rank = 0;
     std::uint32_t count = 1;
 };
-auto rank_in_domain(const fleet &it, time_point now) -> domain_rank;
+
+/// The rank. For `members_unknown` after `started` it is a place by hash among
+/// `places` instead: balancers that start at once know no others yet, and
+/// would all take the same rank.
+auto rank_in_domain(const fleet &it, time_point started, time_point now)
+    -> domain_rank;
+
+/// A balancer that has just started has heard of few others for this time.
+inline constexpr milliseconds members_unknown{4'000};
+inline constexpr std::uint32_t places = 4'096;
 
 } // namespace dogwoodtrack::carried
--- a/src/libstandin/fleet_model_test.cpp
+++ b/src/libstandin/fleet_model_test.cpp
@@ -142,6 +142,20 @@
     CHECK(report.withdrawals == 0);
 }
 
+TEST_CASE("crowd: many balancers that start at once do not pick one upstream") {
+    const auto report = play({.balancers = 40,
+                              .upstreams = 60,
+                              .slots = 2,
+                              .queue = 8,
+                              .arrivals_per_second = 900,
+                              .length = seconds{9},
+                              .faults = {{.kind = fault_kind::kill_balancers,
+                                          .at = soon,
+                                          .lasts = seconds{1}}}});
+    CHECK(share(report.shed, report) < 0.002);
+    CHECK(share(report.failed, report) < 0.002);
+}
+
 TEST_CASE("leaving upstreams get no new flows after the bound") {
     for (const std::uint64_t seed : {1, 2, 3, 4}) {
         const auto report =
--- a/src/libstandin/fleet_world_balancers.cpp
+++ b/src/libstandin/fleet_world_balancers.cpp
@@ -71,7 +71,7 @@
     const auto &version = version_of(it.state, feed::configuration);
     steering.configuration_confirmed =
         version.complete ? version.confirmed : time_point{};
-    const auto own = rank_in_domain(it.state.members, now_);
+    const auto own = rank_in_domain(it.state.members, it.state.started, now_);
     steering.position.rank = own.rank;
     steering.position.count = own.count;
     expire_upstreams(steering.upstreams, seconds{60}, now_);
