--- a/src/libstandin/fleet_world_balancers.cpp
+++ b/src/libstandin/fleet_world_balancers.cpp
@@ -69,9 +69,9 @@
 auto world::tick(balancer &it) -> void {
     auto &steering = it.state.steering;
     const auto &version = version_of(it.state, feed::configuration);
-    steering.configuration_current =
-        version.complete && now_ - version.confirmed < options_.bound;
-    const auto own = rank_in_domain(it.state.members, now_);
+    steering.configuration_confirmed =
+        version.complete ? version.confirmed : time_point{};
+    const auto own = rank_in_domain(it.state.members, it.state.started, now_);
     steering.position.rank = own.rank;
     steering.position.count = own.count;
     expire_upstreams(steering.upstreams, seconds{60}, now_);
