--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/probes.cpp
@@ -39,8 +39,7 @@
         if (member.failure_domain == failure_domain && is_counted(member, now))
             found.push_back(address);
     }
-    // Neighbours in this order are alike in nothing, so that a few of them
-    // stand for all.
+    // Ordered by hash: the few that are asked in a turn are a random sample.
     const auto order = [&](std::uint32_t address) {
         return hash_pair(address, it.self.address);
     };
--- a/src/libdogwoodtrack/carried/rotation.cpp
+++ b/src/libdogwoodtrack/carried/rotation.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// Turns in a row that show the same before this balancer withdraws, before
-/// it comes back as its domain is whole again, and as it has to stand in for
-/// others.
+/// Turns in a row with most of the domain lost before this balancer withdraws,
 constexpr unsigned turns_to_withdraw = 2;
+/// with the domain whole again before it comes back,
 constexpr unsigned turns_to_return = 5;
+/// and with no other domain at work before it comes back all the same.
 constexpr unsigned turns_without_others = 2;
-/// Balancers of a large domain that have to be asked lately.
+/// Answers of so many neighbours stand for a domain that has more.
 constexpr std::size_t sample_least = 8;
 
 auto own_message(const board &it, bool wants_answer) -> probe_message {
