--- a/src/libdogwoodtrack/carried/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages_read.cpp
@@ -323,13 +323,13 @@
     while (in.next()) {
         switch (in.tag()) {
         case probe_field::wants_answer:
-            it.wants_answer = in.get_bool();
+            it.wants_answer = read_flag(in);
             break;
         case probe_field::serves:
-            it.serves = in.get_bool();
+            it.serves = read_flag(in);
             break;
         case probe_field::withdrawn:
-            it.withdrawn = in.get_bool();
+            it.withdrawn = read_flag(in);
             break;
         case probe_field::unheard_domain:
             it.unheard_domains.push_back(in.get_fixed32());
--- a/src/libdogwoodtrack/carried/spread_test.cpp
+++ b/src/libdogwoodtrack/carried/spread_test.cpp
@@ -290,3 +290,14 @@
     CHECK_FALSE(table.all[table.by_id.at("i-left")].placeable);
     CHECK(table.all[table.by_id.at("i-stays")].placeable);
 }
+
+TEST_CASE("a probe that ends with the tag of a flag is refused") {
+    // Field 7, one byte long: field 1 (wants_answer) without its value.
+    const std::string cut{0x3a, 0x01, 0x08};
+    CHECK_FALSE(decode_peer_message(cut));
+    // Found by fuzzing.
+    const std::string found{"\x3a\x0e\x08\xd0\xd0\xd0\xd0\xd0\xd0\x08\x25"
+                            "\x04\x00\xd0\xd0\x08",
+                            16};
+    CHECK_FALSE(decode_peer_message(found));
+}
