carried: one loop that addresses messages, one count of missed probes

Read once more, no change of behaviour: send_to and send_parts were one loop (add_messages); anyone_missed repeated what reach_of counts; what neighbours tell of other domains was filtered by age twice; and each packet of an open flow looked its route up before it was known that its upstream is dead.

--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -90,6 +90,14 @@
     peer_message message;
 };
 
+/// Adds messages to one balancer.
+template <typename Message>
+auto add_messages(std::uint32_t to, const std::vector<Message> &messages,
+                  std::vector<outgoing> &out) -> void {
+    for (const auto &message : messages)
+        out.push_back({.to = to, .message = message});
+}
+
 /// Largest datagram between balancers, bytes.
 inline constexpr std::size_t peer_datagram_limit = 1'300;
 
--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/probes.cpp
@@ -68,16 +68,6 @@
     });
 }
 
-auto anyone_missed(const probe_table &it, std::uint32_t failure_domain,
-                   time_point now) -> bool {
-    return std::any_of(it.members.begin(), it.members.end(),
-                       [&](const auto &entry) {
-                           const auto &member = entry.second;
-                           return member.failure_domain == failure_domain &&
-                                  member.missed > 0 && is_fresh(member, now);
-                       });
-}
-
 auto ask(probe_table &it, const std::vector<std::uint32_t> &candidates,
          std::size_t first, std::size_t most, std::uint32_t failure_domain,
          std::vector<std::uint32_t> &asked) -> void {
@@ -97,7 +87,7 @@
     const auto domain = members.self.failure_domain;
     const auto near = members_of(members, domain, now);
     auto most = near.size() > many_members ? near_asked_of_many : near_asked;
-    if (anyone_missed(it, domain, now))
+    if (reach_of(it, domain, now).missed > 0)
         most = near_asked_in_doubt;
     ask(it, near, it.next_near, most, domain, asked);
     it.next_near += std::min(most, near.size());
@@ -149,13 +139,10 @@
         it.told_unheard[domain] = now;
 }
 
-auto told_unheard(const probe_table &it, time_point now)
-    -> std::vector<std::uint32_t> {
+auto told_unheard(const probe_table &it) -> std::vector<std::uint32_t> {
     std::vector<std::uint32_t> domains;
-    for (const auto &[domain, when] : it.told_unheard) {
-        if (now - when < told_kept)
-            domains.push_back(domain);
-    }
+    for (const auto &[domain, when] : it.told_unheard)
+        domains.push_back(domain);
     return domains;
 }
 
@@ -167,6 +154,7 @@
             continue;
         ++reach.asked;
         reach.withdrawn += member.withdrawn ? 1 : 0;
+        reach.missed += member.missed > 0 ? 1 : 0;
         if (member.missed == 0 && member.heard != time_point{} && member.serves)
             ++reach.serving;
     }
--- a/src/libdogwoodtrack/carried/probes.hpp
+++ b/src/libdogwoodtrack/carried/probes.hpp
@@ -52,6 +52,7 @@
     std::uint32_t asked = 0;
     std::uint32_t serving = 0;   ///< of those asked
     std::uint32_t withdrawn = 0; ///< of those asked
+    std::uint32_t missed = 0;    ///< of those asked, their last probe
 };
 
 /// Whether a turn is due.
@@ -76,9 +77,9 @@
                        const std::vector<std::uint32_t> &domains,
                        time_point now) -> void;
 
-/// Failure domains of which a neighbour lately heard nothing.
-auto told_unheard(const probe_table &it, time_point now)
-    -> std::vector<std::uint32_t>;
+/// Failure domains of which a neighbour heard nothing, as of the end of the
+/// last turn.
+auto told_unheard(const probe_table &it) -> std::vector<std::uint32_t>;
 
 /// What recent probes tell of a failure domain.
 auto reach_of(const probe_table &it, std::uint32_t failure_domain,
--- a/src/libdogwoodtrack/carried/rotation.cpp
+++ b/src/libdogwoodtrack/carried/rotation.cpp
@@ -100,7 +100,7 @@
     const auto lost = has_lost_most(it, now);
     decide(it, lost, now);
     it.steering.out_of_reach = domains_out_of_reach(it, now);
-    it.steering.told_unheard = told_unheard(it.probes, now);
+    it.steering.told_unheard = told_unheard(it.probes);
     it.probes.watched_domains = domains_to_watch(it, lost);
     for (const auto to : begin_turn(it.probes, it.members))
         out.push_back({.to = to, .message = own_message(it, true)});
--- a/src/libdogwoodtrack/carried/shared_outcomes.cpp
+++ b/src/libdogwoodtrack/carried/shared_outcomes.cpp
@@ -21,13 +21,6 @@
     messages.back().items.push_back(item);
 }
 
-template <typename Message>
-auto send_to(std::uint32_t to, const std::vector<Message> &messages,
-             std::vector<outgoing> &out) -> void {
-    for (const auto &message : messages)
-        out.push_back({.to = to, .message = message});
-}
-
 auto tell_judges(board &it, time_point now, std::vector<outgoing> &out)
     -> void {
     auto &table = it.steering.upstreams;
@@ -41,7 +34,7 @@
                      told_outcome{.code = one.code, .counts = counts});
     }
     for (const auto &[judge, messages] : by_judge)
-        send_to(judge, messages, out);
+        add_messages(judge, messages, out);
 }
 
 auto judgement_of(const upstream &it, time_point now) -> judgement {
@@ -67,7 +60,7 @@
         return;
     for (const auto &[address, member] : it.members.others) {
         if (serves_own_domain(it.members, member, now))
-            send_to(address, messages, out);
+            add_messages(address, messages, out);
     }
 }
 
--- a/src/libdogwoodtrack/carried/spread.cpp
+++ b/src/libdogwoodtrack/carried/spread.cpp
@@ -77,17 +77,11 @@
     return records;
 }
 
-auto send_parts(const std::vector<records_message> &parts, std::uint32_t to,
-                std::vector<outgoing> &out) -> void {
-    for (const auto &part : parts)
-        out.push_back({.to = to, .message = part});
-}
-
 auto send_records(const board &it, std::uint32_t to, std::uint64_t since,
                   time_point now, std::vector<outgoing> &out) -> void {
     const auto version = tell(version_of(it, feed::upstreams), now);
-    send_parts(split_records(records_since(it, since), since, version), to,
-               out);
+    add_messages(to, split_records(records_since(it, since), since, version),
+                 out);
 }
 
 auto send_routes(const board &it, std::uint32_t to, time_point now,
@@ -95,8 +89,7 @@
     if (!it.steering.in_force)
         return;
     const auto version = tell(version_of(it, feed::configuration), now);
-    for (auto &part : split_routes(*it.steering.in_force, version))
-        out.push_back({.to = to, .message = std::move(part)});
+    add_messages(to, split_routes(*it.steering.in_force, version), out);
 }
 
 auto send_state(const board &it, std::uint32_t to, feed what,
@@ -132,7 +125,7 @@
     const auto version = tell(version_of(it, feed::upstreams), now);
     const auto parts = split_records(records, since, version);
     for (const auto to : peers_for_news(it, except, now))
-        send_parts(parts, to, out);
+        add_messages(to, parts, out);
 }
 
 // ---- digests
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -116,8 +116,10 @@
 
 auto is_to_reset(const steering_state &state, upstream_index to,
                  const endpoint &service, bool waits) -> bool {
-    return to != no_upstream &&
-           may_reset(state.upstreams.all[to], kind_of(state, service), waits);
+    if (to == no_upstream ||
+        state.upstreams.all[to].death == upstream_death::none)
+        return false;
+    return may_reset(state.upstreams.all[to], kind_of(state, service), waits);
 }
 
 } // namespace
