board: what packet decisions need is refreshed in one place

The daemon's tick and the model's were twins: both copied the confirmation of the configuration and the balancer's place into the steering state, and the change had to be made in both. refresh_steering serves both; no change of behaviour.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -120,13 +120,6 @@
 
 // ---- time
 
-auto update_position(context &it, time_point now) -> void {
-    const auto own = rank_in_domain(it.state.members, it.state.started, now);
-    auto &position = it.state.steering.position;
-    position.rank = own.rank;
-    position.count = own.count;
-}
-
 auto log_first_service(context &it, time_point now) -> void {
     if (it.served || !can_serve(it.state))
         return;
@@ -172,10 +165,7 @@
         return;
     it.next_tick = now + tick_interval;
     auto &steering = it.state.steering;
-    const auto &version = version_of(it.state, feed::configuration);
-    steering.configuration_confirmed =
-        version.complete ? version.confirmed : time_point{};
-    update_position(it, now);
+    refresh_steering(it.state, now);
     expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
                      now);
     for (const auto ms : std::exchange(steering.flows.answers_ms, {}))
--- a/src/libdogwoodtrack/carried/board.cpp
+++ b/src/libdogwoodtrack/carried/board.cpp
@@ -23,4 +23,13 @@
            version_of(it, feed::upstreams).complete;
 }
 
+auto refresh_steering(board &it, time_point now) -> void {
+    const auto &version = version_of(it, feed::configuration);
+    it.steering.configuration_confirmed =
+        version.complete ? version.confirmed : time_point{};
+    const auto own = rank_in_domain(it.members, it.started, now);
+    it.steering.position.rank = own.rank;
+    it.steering.position.count = own.count;
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/board.hpp
+++ b/src/libdogwoodtrack/carried/board.hpp
@@ -74,4 +74,8 @@
 /// Whether new flows can be served: both feeds were read once.
 auto can_serve(const board &it) -> bool;
 
+/// Brings what packet decisions need of the rest of the board up to date: how
+/// current the configuration is, and this balancer's place in its domain.
+auto refresh_steering(board &it, time_point now) -> void;
+
 } // namespace dogwoodtrack::carried
--- a/src/libstandin/fleet_world_balancers.cpp
+++ b/src/libstandin/fleet_world_balancers.cpp
@@ -68,12 +68,7 @@
 
 auto world::tick(balancer &it) -> void {
     auto &steering = it.state.steering;
-    const auto &version = version_of(it.state, feed::configuration);
-    steering.configuration_confirmed =
-        version.complete ? version.confirmed : time_point{};
-    const auto own = rank_in_domain(it.state.members, it.state.started, now_);
-    steering.position.rank = own.rank;
-    steering.position.count = own.count;
+    refresh_steering(it.state, now_);
     expire_upstreams(steering.upstreams, seconds{60}, now_);
     sweep_flows(steering.flows, steering.upstreams, 256, now_);
     if (!steering.in_force)
