balancer: log what changes the version of a feed

The debug line feed_version names the feed, its content and as_of, and the answer of the store or message of a balancer that changed them.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -49,6 +49,32 @@
     return fd;
 }
 
+// ---- feed versions
+
+// Logs each feed whose version differs from that in `before`, because of the
+// answer or message `cause`. `from` is the address of the balancer that sent
+// it, 0 for the store.
+auto log_version_changes(const balancer_context &it,
+                         const std::array<feed_version, feed_count> &before,
+                         std::string_view cause, std::uint32_t from) -> void {
+    if (!is_logged(severity::debug))
+        return;
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto &version = it.state.versions[i];
+        if (version.content == before[i].content &&
+            version.as_of == before[i].as_of &&
+            version.complete == before[i].complete)
+            continue;
+        log_event(severity::debug, "feed_version",
+                  {{"feed", std::string(to_string(static_cast<feed>(i)))},
+                   {"cause", std::string(cause)},
+                   {"from", to_string(endpoint{.address = from})},
+                   {"content", version.content},
+                   {"as_of", version.as_of},
+                   {"complete", version.complete}});
+    }
+}
+
 // ---- peers
 
 auto send_messages(balancer_context &it,
@@ -78,8 +104,10 @@
             ++it.state.counters.malformed;
             continue;
         }
-        on_peer_message(it.state, ntohl(from.sin_addr.s_addr), *message,
-                        monotonic::now(), out);
+        const auto sender = ntohl(from.sin_addr.s_addr);
+        const auto before = it.state.versions;
+        on_peer_message(it.state, sender, *message, monotonic::now(), out);
+        log_version_changes(it, before, message_name(*message), sender);
     }
     send_messages(it, out);
 }
@@ -109,9 +137,11 @@
     std::vector<outgoing_message> out;
     for (const auto &answer : it.store.take_answers(now)) {
         const auto was_unreachable = it.state.store_unreachable;
+        const auto before = it.state.versions;
         on_store_answer(it.state, answer, now, out);
         schedule_next_call(it.state, answer, now);
         log_store_answer(it, answer, was_unreachable);
+        log_version_changes(it, before, to_string(answer.outcome), 0);
     }
     send_messages(it, out);
 }
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -164,6 +164,14 @@
 
 } // namespace
 
+auto message_name(const peer_message &message) -> std::string_view {
+    static constexpr std::array<std::string_view,
+                                std::variant_size_v<peer_message>>
+        names{"digest",   "pull",       "records", "routes",
+              "outcomes", "judgements", "probe"};
+    return names[message.index()];
+}
+
 auto encode(const peer_message &message) -> std::string {
     std::string buf;
     builder<envelope_field> envelope(buf);
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -90,6 +90,9 @@
     std::variant<digest_message, pull_message, records_message, routes_message,
                  outcomes_message, judgements_message, probe_message>;
 
+/// Name of the kind of a message in logs, for example `digest`. Thread safe.
+auto message_name(const peer_message &message) -> std::string_view;
+
 /// A message to be sent to a peer.
 struct outgoing_message {
     std::uint32_t to = 0; ///< address of the receiving balancer
