gossip: count only what a version covers towards a feed's content

Cause: a record that a peer pushes is applied even if earlier changes are missing. The table kept the highest revision of such records, and the answer to the first list, which may be seconds old, took it as the list's content. A digest of a peer with the same content then confirmed the old list.

The same cause on a related path: a list in pages counts as read at its first page, but records of later pages advanced the content beyond that.

Why the fix works: content advances with an answer of the store up to the revision that the answer shows, and with sets of records that join on to what is known, so it is never later than as_of. A peer that has a later change has a later content, and its digest leads to a pull instead of a confirmation.

Tests: "a record pushed before the first list arrives ..." and "a change on a later page of a list ..." force the order of events.

--- a/src/libdogwoodtrack/carried/gossip.cpp
+++ b/src/libdogwoodtrack/carried/gossip.cpp
@@ -392,24 +392,49 @@
     return ids;
 }
 
+// Revision at which peers learn that `record`, which was in an answer of the
+// store, has changed. A removal may be known by an earlier revision than the
+// answer gives it.
+auto revision_of_change(const upstream_table &table,
+                        const upstream_record &record) -> std::uint64_t {
+    const auto found = table.by_id.find(record.id);
+    if (found == table.by_id.end())
+        return record.changed_at;
+    return std::min(record.changed_at,
+                    table.all[found->second].record.changed_at);
+}
+
+// Applies the upstreams in an answer of the store, and counts their changes
+// towards the version of the feed. Changes later than the answer's `as_of` do
+// not count: the answer need not show all earlier ones, as when a further page
+// of a list was read later. For the same reason, records pushed by peers count
+// only once a version covers them: balancers with equal `content` take each
+// other to have all changes up to it.
 auto apply_records(blackboard &board, const store_answer &answer,
                    time_point now) -> bool {
     auto changed = false;
     auto &table = board.steering.upstreams;
-    for (const auto &record : answer.records)
+    auto &content = version_of(board, feed::upstreams).content;
+    for (const auto &record : answer.records) {
         changed |=
             apply_record(table, lapse_if_may_reappear(board, record, now), now);
+        const auto revision = revision_of_change(table, record);
+        if (revision <= answer.as_of)
+            content = std::max(content, revision);
+    }
     if (answer.outcome != store_outcome::listed)
         return changed;
     board.steering.upstreams_known = true;
     if (answer.may_be_stale)
         return changed;
-    const auto previous_content = table.content;
-    retire_missing(table, sorted_ids(answer.records), answer.as_of,
-                   may_reappear(board, now) ? upstream_state::lapsed
-                                            : upstream_state::gone,
-                   now);
-    return changed || table.content != previous_content;
+    const auto retired =
+        retire_missing(table, sorted_ids(answer.records), answer.as_of,
+                       may_reappear(board, now) ? upstream_state::lapsed
+                                                : upstream_state::gone,
+                       now);
+    if (retired)
+        content = std::max(content, answer.as_of);
+    return changed || retired;
 }
 
 // Whether the store was unreachable before the answer that arrives now: this
@@ -451,7 +476,6 @@
     auto changed = false;
     if (answer.what == feed::upstreams) {
         changed = apply_records(board, answer, now);
-        own_version.content = board.steering.upstreams.content;
     } else if (answer.latest_configuration) {
         changed = activate_configuration(board, answer.latest_configuration);
         own_version.content = std::max(own_version.content,
--- a/src/libdogwoodtrack/carried/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/gossip_test.cpp
@@ -65,6 +65,21 @@
             .changed_at = revision};
 }
 
+auto make_draining(const std::string &id, std::uint64_t revision)
+    -> upstream_record {
+    auto it = make_record(id, revision);
+    it.state = upstream_state::draining;
+    return it;
+}
+
+// Digest with the versions of the feeds that `it` has, as `it` would send it.
+auto make_digest_of(blackboard &it) -> digest_message {
+    std::vector<outgoing_message> out;
+    send_digests(it, start, out);
+    REQUIRE_FALSE(out.empty());
+    return std::get<digest_message>(out.front().message);
+}
+
 auto make_changes(std::vector<upstream_record> records, std::uint64_t as_of)
     -> store_answer {
     return {.what = feed::upstreams,
@@ -313,6 +328,62 @@
     CHECK(table.all[table.by_id.at("i-stays")].placeable);
 }
 
+// Guards against a starting balancer that takes draining upstreams for ready:
+// it counted a record pushed by a peer as the content of an older list, so that
+// a digest with this content seemed to confirm the list.
+TEST_CASE("a record pushed before the first list arrives does not hide the "
+          "changes that the list lacks") {
+    auto a = make_blackboard(1);
+    auto b = make_blackboard(2);
+    introduce({&a, &b});
+    const std::vector<upstream_record> ready{
+        make_record("i-1", 5), make_record("i-2", 6), make_record("i-3", 7)};
+    apply_answer(a, make_configuration_list(3, 10), start);
+    apply_answer(a, make_upstream_list(ready, 10), start);
+    apply_answer(a, make_changes({make_draining("i-1", 12)}, 12), start);
+    // `b` starts now: its call to the store is under way.
+    const auto pushed =
+        apply_answer(a, make_changes({make_draining("i-2", 14)}, 14), start);
+    deliver({&a, &b}, 1, pushed, start);
+    apply_answer(b, make_configuration_list(3, 10), start);
+    auto stale = make_upstream_list(ready, 10);
+    stale.may_be_stale = true;
+    apply_answer(b, stale, start);
+    CHECK(version_of(b, feed::upstreams).content <= 10);
+    const auto now = start + seconds{1};
+    deliver({&a, &b}, 1, {{.to = 2, .message = make_digest_of(a)}}, now);
+    CHECK(count_placeable(b) == 1);
+    CHECK(version_of(b, feed::upstreams).as_of == 14);
+    CHECK(version_of(b, feed::upstreams).content == 14);
+}
+
+// Guards against the same fault without a push: pages of one list are read one
+// after the other.
+TEST_CASE("a change on a later page of a list does not hide a change missed on "
+          "an earlier page") {
+    auto a = make_blackboard(1);
+    auto b = make_blackboard(2);
+    introduce({&a, &b});
+    const std::vector<upstream_record> ready{make_record("i-1", 5),
+                                             make_record("i-2", 6)};
+    for (auto *it : {&a, &b})
+        apply_answer(*it, make_configuration_list(3, 10), start);
+    apply_answer(a, make_upstream_list(ready, 10), start);
+    apply_answer(
+        a,
+        make_changes({make_draining("i-1", 12), make_draining("i-2", 14)}, 14),
+        start);
+    // The first page was read at revision 10, the second one at 14.
+    apply_answer(b,
+                 make_upstream_list(
+                     {make_record("i-1", 5), make_draining("i-2", 14)}, 10),
+                 start);
+    const auto now = start + seconds{1};
+    deliver({&a, &b}, 1, {{.to = 2, .message = make_digest_of(a)}}, now);
+    CHECK(count_placeable(b) == 0);
+    CHECK(version_of(b, feed::upstreams).as_of == 14);
+}
+
 TEST_CASE("a probe message that ends between the tag and the value of a bool "
           "field is rejected") {
     // Field 7 (probe) with a length of one byte: the tag of field 1
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -171,7 +171,6 @@
                   time_point now) -> bool {
     const auto found = table.by_id.find(record.id);
     if (found == table.by_id.end()) {
-        table.content = std::max(table.content, record.changed_at);
         if (record.address.port == 0)
             return false;
         add_upstream(table, record, now);
@@ -181,7 +180,6 @@
     const auto &known = table.all[index].record;
     if (!is_newer(record, known))
         return false;
-    table.content = std::max(table.content, record.changed_at);
     // The record of a removed entry has no valid fields except the identifier,
     // the state and the revisions. The other fields keep their known values, so
     // that packets of existing flows are still forwarded.
@@ -207,7 +205,8 @@
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
-    -> void {
+    -> bool {
+    auto changed = false;
     for (const auto &[id, index] : table.by_id) {
         auto &it = table.all[index];
         // A `lapsed` upstream keeps this state until `lapse_grace` has passed.
@@ -216,13 +215,14 @@
             std::binary_search(present.begin(), present.end(), id))
             continue;
         it.record.changed_at = as_of;
-        table.content = std::max(table.content, as_of);
         set_state(table, index,
                   it.record.state == upstream_state::draining
                       ? upstream_state::gone
                       : state,
                   now);
+        changed = true;
     }
+    return changed;
 }
 
 auto expire_upstreams(upstream_table &table, milliseconds retention,
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -117,9 +117,6 @@
     /// Latest upstream at each address.
     boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
         by_address;
-    /// Highest `changed_at` of all records that were new to this table when
-    /// they arrived, and of those that `retire_missing` changed.
-    std::uint64_t content = 0;
     /// Upstreams with failures not yet reported to their outlier detector.
     std::vector<upstream_index> unreported_failures;
     /// Upstreams that this instance has ejected, or whose probation it has
@@ -157,11 +154,12 @@
 /// sent: to `gone` if the upstream was `draining`, else to `state`. `present`
 /// has the identifiers in the list, and `as_of` is the store revision that the
 /// list shows. Upstreams with a later revision, and those that are already
-/// `lapsed` or `gone`, are not changed. Precondition: `present` is sorted.
+/// `lapsed` or `gone`, are not changed. Returns whether any upstream was
+/// changed. Precondition: `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
-    -> void;
+    -> bool;
 
 /// Sets the state of upstreams that have been `lapsed` for `lapse_grace` to
 /// `gone`, and removes those that have been `gone` for `retention`.
