platform: judge each entry of the store alone

What callers saw: new flows went to draining upstreams for as long as these served (bound 3 s), after another writer had left one unreadable entry of 50 bytes.

Cause: an answer of the store was parsed as one text. One entry with half of a surrogate pair, 1e400 or bytes that are no UTF-8 failed the whole list or the whole set of events, and the call was repeated from the same revision.

Why the fix works: the answer is split into entries by a scan of the grammar alone, without recursion and with limited work; each entry is parsed by itself, and what the store says of it is read apart from what its writer says. One that cannot be read names no upstream, is counted and logged.

--- a/fuzz/carried_store.cpp
+++ b/fuzz/carried_store.cpp
@@ -10,10 +10,8 @@
     const std::string body(reinterpret_cast<const char *>(data), size);
     for (const auto feed :
          {carried::feed::configuration, carried::feed::upstreams}) {
-        auto copy = body;
-        (void)platform::decode_list(feed, copy);
-        copy = body;
-        (void)platform::decode_events(feed, copy);
+        (void)platform::decode_list(feed, body);
+        (void)platform::decode_events(feed, body);
     }
     return 0;
 }
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -34,6 +34,8 @@
 constexpr milliseconds leave_propagation_time{1'300};
 /// Interval between checks for changed settings.
 constexpr milliseconds reload_interval{1'000};
+/// Longest part of an entry's name that is logged, in bytes.
+constexpr std::size_t max_logged_name = 100;
 /// Requested size of a socket's receive buffer, in bytes.
 constexpr int receive_buffer_size = 1 << 19;
 
@@ -133,6 +135,21 @@
                {"records", std::uint64_t{answer.records.size()}}});
 }
 
+// Counts and logs the entries in an answer that could not be used: the first
+// few by name, all of them by number.
+auto report_rejected_entries(balancer_context &it, const store_answer &answer)
+    -> void {
+    constexpr std::size_t max_logged = 5;
+    const auto &rejected = answer.rejected;
+    it.state.counters.rejected_entries += rejected.size();
+    for (std::size_t i = 0; i < std::min(rejected.size(), max_logged); ++i)
+        log_event(severity::warning, "store_entry_rejected",
+                  {{"feed", std::string(to_string(answer.what))},
+                   {"entry", rejected[i].name.substr(0, max_logged_name)},
+                   {"reason", rejected[i].reason},
+                   {"rejected", std::uint64_t{rejected.size()}}});
+}
+
 auto handle_store_answers(balancer_context &it, time_point now) -> void {
     std::vector<outgoing_message> out;
     for (const auto &answer : it.store.take_answers(now)) {
@@ -141,6 +158,7 @@
         on_store_answer(it.state, answer, now, out);
         schedule_next_call(it.state, answer, now);
         log_store_answer(it, answer, was_unreachable);
+        report_rejected_entries(it, answer);
         log_version_changes(it, before, to_string(answer.outcome), 0);
     }
     send_messages(it, out);
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -57,6 +57,7 @@
     std::uint64_t held = 0;
     std::uint64_t malformed = 0; ///< malformed packets and peer messages
     std::uint64_t store_calls = 0;
+    std::uint64_t rejected_entries = 0; ///< unusable entries of the store
     std::uint64_t peer_messages = 0;
     std::uint64_t withdrawals = 0; ///< times this balancer left rotation
 };
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -78,6 +78,8 @@
     write_counter(out, "waited_for_state_total", counters.held);
     write_counter(out, "malformed_total", counters.malformed);
     write_counter(out, "store_calls_total", counters.store_calls);
+    write_counter(out, "store_entries_rejected_total",
+                  counters.rejected_entries);
     write_counter(out, "peer_messages_total", counters.peer_messages);
     write_counter(out, "flows_not_counted_total", it.steering.flows.overflowed);
     write_refusals(out, counters);
--- a/src/libdogwoodtrack/carried/store.hpp
+++ b/src/libdogwoodtrack/carried/store.hpp
@@ -22,6 +22,12 @@
 /// Name of an outcome in logs, for example `history_gone`. Thread safe.
 auto to_string(store_outcome outcome) -> std::string_view;
 
+/// An entry of the store that could not be used.
+struct rejected_entry {
+    std::string name;   ///< empty if it could not be read
+    std::string reason; ///< for logs
+};
+
 /// Answer to one call.
 struct store_answer {
     feed what{};
@@ -32,6 +38,7 @@
     std::vector<upstream_record> records;
     /// Null if absent or unchanged.
     std::shared_ptr<configuration> latest_configuration;
+    std::vector<rejected_entry> rejected;
     std::string detail; ///< reason for a refusal or failure
 };
 
