documents: judge each entry and object of the platform alone

Causes: fields of another type threw exceptions, uncaught for upstreams and for objects of a list; the table of balancers was cleared before its successor was read; one unreadable text or number failed the whole list; nested values were copied and written recursively; a port out of range was cut to 16 bits.

Why the fix works: fields are read by functions that do not throw; a list is split into its objects before they are parsed, as on the other link (json_scan and json_listing moved from platform/ for this); depth is limited while parsing.

--- a/src/libdogwoodtrack/documents.cpp
+++ b/src/libdogwoodtrack/documents.cpp
@@ -4,8 +4,8 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
+#include "json_fields.hpp"
 #include "membership.hpp"
 
 namespace dogwoodtrack {
@@ -16,14 +16,6 @@
 
 constexpr std::size_t watchers_per_domain = 2;
 
-auto endpoint_condition(const json &entry, const char *name, bool fallback)
-    -> bool {
-    const auto conditions = entry.value("conditions", json::object());
-    const auto it = conditions.find(name);
-    return it != conditions.end() && it->is_boolean() ? it->get<bool>()
-                                                      : fallback;
-}
-
 // Ports of an EndpointSlice of the platform.
 struct slice_ports {
     std::uint16_t data = 0;    ///< of a balancer's link, or of an upstream
@@ -32,9 +24,9 @@
 
 auto read_ports(const json &slice) -> slice_ports {
     slice_ports ports;
-    for (const auto &it : slice.value("ports", json::array())) {
-        const auto port = it.value("port", std::uint16_t{0});
-        if (it.value("name", "") == "control")
+    for (const auto &it : array_field(slice, "ports")) {
+        const auto port = number_field<std::uint16_t>(it, "port");
+        if (text_field(it, "name") == "control")
             ports.control = port;
         else
             ports.data = port;
@@ -43,7 +35,7 @@
 }
 
 auto read_address(const json &entry) -> std::uint32_t {
-    const auto list = entry.value("addresses", json::array());
+    const auto &list = array_field(entry, "addresses");
     in_addr parsed{};
     if (list.empty() || !list[0].is_string() ||
         inet_pton(AF_INET, list[0].get_ref<const std::string &>().c_str(),
@@ -55,24 +47,24 @@
 // The platform sets `ready` to false while an instance terminates. The instance
 // still counts as ready here as long as it is `serving`.
 auto read_state(const json &entry) -> listed_instance {
-    return {.ready = endpoint_condition(entry, "ready", true) ||
-                     endpoint_condition(entry, "serving", false),
-            .terminating = endpoint_condition(entry, "terminating", false)};
+    const auto &conditions = object_field(entry, "conditions");
+    return {.ready = bool_field(conditions, "ready", true) ||
+                     bool_field(conditions, "serving", false),
+            .terminating = bool_field(conditions, "terminating", false)};
 }
 
 auto apply_balancers(blackboard &board, const json &slice, time_point now)
     -> void {
     const auto ports = read_ports(slice);
     board.balancers.clear();
-    for (const auto &it : slice.value("endpoints", json::array())) {
+    for (const auto &it : array_field(slice, "endpoints")) {
         const auto address = read_address(it);
-        const auto name =
-            it.value("targetRef", json::object()).value("name", "");
+        const auto name = text_field(object_field(it, "targetRef"), "name");
         if (address == 0 || name.empty())
             continue;
         board.balancers[name] = {
             .name = name,
-            .failure_domain = it.value("zone", ""),
+            .failure_domain = text_field(it, "zone"),
             .link = {.address = address, .port = ports.data},
             .control = {.address = address, .port = ports.control},
             .state = read_state(it)};
@@ -88,11 +80,9 @@
     for (const auto &[name, value] : board.documents) {
         if (!name.starts_with(live_prefix) || name == balancer_list)
             continue;
-        const auto slice = json::parse(value.json, nullptr, false);
-        if (!slice.is_object())
-            continue;
+        const auto slice = parse_json(value.json);
         const auto ports = read_ports(slice);
-        for (const auto &it : slice.value("endpoints", json::array())) {
+        for (const auto &it : array_field(slice, "endpoints")) {
             const auto address = read_address(it);
             if (address != 0)
                 board.listed_upstreams[{.address = address,
@@ -133,16 +123,13 @@
 
 auto apply_instance_list(blackboard &board, const std::string &name,
                          const document &value, time_point now) -> bool {
-    const auto slice = json::parse(value.json, nullptr, false);
+    const auto slice = parse_json(value.json);
     if (!slice.is_object())
-        return false;
-    try {
-        if (name == balancer_list)
-            apply_balancers(board, slice, now);
-    } catch (const json::exception &problem) {
         return reject_document(board, name, value.generation,
-                               {error_kind::platform_refused, problem.what()});
-    }
+                               {error_kind::platform_refused,
+                                "the instance list is not a JSON object"});
+    if (name == balancer_list)
+        apply_balancers(board, slice, now);
     return true;
 }
 
--- a/platform/json_scan.cpp
+++ b/src/libdogwoodtrack/json_scan.cpp
@@ -3,14 +3,11 @@
 #include <string>
 #include <utility>
 
-namespace dogwoodtrack::platform {
+namespace dogwoodtrack {
 
 namespace {
 
 constexpr std::string_view white_space = " \t\r\n";
-/// Limits the work on incomplete elements: together they are read at most this
-/// many times the length of the text.
-constexpr std::size_t max_rescans = 16;
 
 /// What the grammar allows next.
 enum class expected {
@@ -134,11 +131,12 @@
     return not_found;
 }
 
-/// Result of a scan over one value.
-struct scanned_value {
-    std::size_t end = not_found; ///< position after the value
-    std::size_t read = 0;        ///< characters read, also if it is incomplete
-};
+} // namespace
+
+auto skip_space(std::string_view text, std::size_t at) -> std::size_t {
+    return at == not_found ? not_found
+                           : text.find_first_not_of(white_space, at);
+}
 
 auto scan_value(std::string_view text, std::size_t at) -> scanned_value {
     const auto begin = at;
@@ -156,47 +154,6 @@
     return {.end = at, .read = at - begin};
 }
 
-// Whether an object whose first member is called `name` begins at `at`.
-auto begins_with_member(std::string_view text, std::size_t at,
-                        std::string_view name) -> bool {
-    if (text[at] != '{')
-        return false;
-    const auto quote = skip_space(text, at + 1);
-    return quote != not_found && text[quote] == '"' &&
-           text.substr(quote + 1, name.size()) == name &&
-           text.substr(quote + 1 + name.size(), 1) == "\"";
-}
-
-// Returns the position of the element after the incomplete one at `from`: an
-// object after a comma whose first member is called `name`.
-auto find_next_element(std::string_view text, std::size_t from,
-                       std::string_view name) -> std::size_t {
-    for (auto at = text.find(',', from); at != not_found;
-         at = text.find(',', at + 1)) {
-        const auto begin = skip_space(text, at + 1);
-        if (begin != not_found && begins_with_member(text, begin, name))
-            return begin;
-    }
-    return not_found;
-}
-
-// Whether the element that ends at `end` is followed by the end of the array or
-// by another object.
-auto is_followed_well(std::string_view text, std::size_t end) -> bool {
-    const auto after = skip_space(text, end);
-    if (after == not_found || text[after] == ']')
-        return after != not_found;
-    const auto next = skip_space(text, after + 1);
-    return text[after] == ',' && next != not_found && text[next] == '{';
-}
-
-} // namespace
-
-auto skip_space(std::string_view text, std::size_t at) -> std::size_t {
-    return at == not_found ? not_found
-                           : text.find_first_not_of(white_space, at);
-}
-
 auto skip_value(std::string_view text, std::size_t at) -> std::size_t {
     return scan_value(text, at).end;
 }
@@ -232,43 +189,4 @@
     return {};
 }
 
-auto split_elements(std::string_view text, std::size_t at) -> json_elements {
-    json_elements it;
-    auto begin = skip_space(text, at + 1);
-    if (begin != not_found && text[begin] == ']') {
-        it.end = begin + 1;
-        return it;
-    }
-    if (begin == not_found || text[begin] != '{')
-        return it;
-    const auto first_name = read_member_start(text, begin + 1).name;
-    auto rescans = max_rescans * text.size();
-    while (begin != not_found) {
-        const auto value = scan_value(text, begin);
-        if (value.end != not_found && is_followed_well(text, value.end)) {
-            it.all.push_back({.text = text.substr(begin, value.end - begin),
-                              .intact = true});
-            const auto after = skip_space(text, value.end);
-            if (text[after] == ']') {
-                it.end = after + 1;
-                return it;
-            }
-            begin = skip_space(text, after + 1);
-            continue;
-        }
-        if (value.read > rescans)
-            return it;
-        rescans -= value.read;
-        const auto next = find_next_element(text, begin + 1, first_name);
-        it.all.push_back(
-            {.text = text.substr(begin, next == not_found ? not_found
-                                                          : next - begin)});
-        begin = next;
-    }
-    // The last element is not complete: the array ends with the last bracket.
-    const auto close = text.rfind(']');
-    it.end = close == not_found || close < at ? not_found : close + 1;
-    return it;
-}
-
-} // namespace dogwoodtrack::platform
+} // namespace dogwoodtrack
--- a/platform/json_scan.hpp
+++ b/src/libdogwoodtrack/json_scan.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <string_view>
-#include <vector>
 
-namespace dogwoodtrack::platform {
+namespace dogwoodtrack {
 
 /// A scan of JSON text that checks the grammar of values, but not what strings
 /// and numbers contain. It finds where each value ends, so that values can be
@@ -14,6 +13,16 @@
 /// A position in a text, or `not_found`.
 inline constexpr auto not_found = std::string_view::npos;
 
+/// Result of a scan over one value.
+struct scanned_value {
+    std::size_t end = not_found; ///< position after the value
+    std::size_t read = 0; ///< characters read, also if the value is incomplete
+};
+
+/// Scans the value that begins at `at`, possibly after white space.
+/// `scanned_value::end` is `not_found` if no complete value follows.
+auto scan_value(std::string_view text, std::size_t at) -> scanned_value;
+
 /// Returns the position after the value that begins at `at`, possibly after
 /// white space, or `not_found` if no complete value follows.
 auto skip_value(std::string_view text, std::size_t at) -> std::size_t;
@@ -39,23 +48,4 @@
 auto find_value(std::string_view object, std::string_view name)
     -> std::string_view;
 
-/// One element of an array of objects.
-struct json_element {
-    std::string_view text;
-    bool intact = false; ///< the text is a complete value
-};
-
-/// Elements of an array.
-struct json_elements {
-    std::vector<json_element> all;
-    /// Position after the array, or `not_found` if its end was not found.
-    std::size_t end = not_found;
-};
-
-/// Splits the array of objects that begins at `at`. An element that is not a
-/// complete value ends where the next one begins, that is, before the next
-/// object whose first member is called like that of the first element.
-/// Precondition: `text[at]` is `[`.
-auto split_elements(std::string_view text, std::size_t at) -> json_elements;
-
-} // namespace dogwoodtrack::platform
+} // namespace dogwoodtrack
--- a/src/libdogwoodtrack/platform_client.cpp
+++ b/src/libdogwoodtrack/platform_client.cpp
@@ -1,7 +1,9 @@
 #include "dogwoodtrack/platform_client.hpp"
 
 #include <httplib.h>
-#include <nlohmann/json.hpp>
+
+#include "json_fields.hpp"
+#include "json_listing.hpp"
 
 namespace dogwoodtrack {
 
@@ -23,16 +25,16 @@
 
 auto to_object(platform_resource resource, const json &value)
     -> platform_object {
-    const auto meta = value.value("metadata", json::object());
+    const auto &meta = object_field(value, "metadata");
     platform_object object{
-        .name = meta.value("name", ""),
-        .resource_version = meta.value("resourceVersion", ""),
-        .generation = meta.value("generation", std::uint64_t{0}),
-        .change_id = meta.value("annotations", json::object())
-                         .value(change_annotation, "")};
+        .name = text_field(meta, "name"),
+        .resource_version = text_field(meta, "resourceVersion"),
+        .generation = number_field<std::uint64_t>(meta, "generation"),
+        .change_id =
+            text_field(object_field(meta, "annotations"), change_annotation)};
     if (resource == platform_resource::contracts) {
-        object.spec_json = value.value("spec", json::object()).dump();
-        object.status_json = value.value("status", json::object()).dump();
+        object.spec_json = object_field(value, "spec").dump();
+        object.status_json = object_field(value, "status").dump();
     } else {
         auto body = value;
         body.erase("metadata");
@@ -82,6 +84,27 @@
     return value;
 }
 
+// Reads a list. Each object is parsed alone, so that one that cannot be read
+// does not affect the others.
+auto read_list(platform_resource resource, std::string_view body)
+    -> result<platform_list> {
+    const auto listing = split_listing(body, "items");
+    if (!listing)
+        return error{error_kind::platform_refused,
+                     "the platform's response to a list request is not a JSON "
+                     "object with an array `items`"};
+    platform_list found{
+        .resource_version = text_field(
+            parse_json(find_value(*listing, "metadata")), "resourceVersion"),
+        .objects = {}};
+    for (const auto &it : listing->elements) {
+        const auto object = parse_json(it.text);
+        if (object.is_object())
+            found.objects.push_back(to_object(resource, object));
+    }
+    return found;
+}
+
 // Passes each complete line that is a JSON object to `handle`, and keeps an
 // incomplete last line in `pending`.
 auto consume_lines(std::string &pending, const char *data, std::size_t size,
@@ -90,8 +113,8 @@
     std::size_t start = 0;
     for (auto end = pending.find('\n'); end != std::string::npos;
          end = pending.find('\n', start)) {
-        const auto event = json::parse(pending.data() + start,
-                                       pending.data() + end, nullptr, false);
+        const auto event =
+            parse_json(std::string_view(pending).substr(start, end - start));
         if (event.is_object())
             handle(event);
         start = end + 1;
@@ -112,18 +135,7 @@
         return unreachable_error(response);
     if (response->status != 200)
         return refused_error(*response);
-    const auto body = json::parse(response->body, nullptr, false);
-    if (!body.is_object())
-        return error{
-            error_kind::platform_refused,
-            "the platform's response to a list request is not a JSON object"};
-    platform_list found{
-        .resource_version =
-            body.value("metadata", json::object()).value("resourceVersion", ""),
-        .objects = {}};
-    for (const auto &it : body.value("items", json::array()))
-        found.objects.push_back(to_object(resource, it));
-    return found;
+    return read_list(resource, response->body);
 }
 
 auto platform_client::get(platform_resource resource,
@@ -135,7 +147,7 @@
         return unreachable_error(response);
     if (response->status != 200)
         return refused_error(*response);
-    const auto body = json::parse(response->body, nullptr, false);
+    const auto body = parse_json(response->body);
     if (!body.is_object())
         return error{error_kind::platform_refused,
                      "the platform's response is not a JSON object"};
@@ -150,14 +162,14 @@
     std::string pending;
     auto expired = false;
     const auto handle_event = [&](const json &event) {
-        const auto type = event.value("type", "");
-        const auto object = event.value("object", json::object());
+        const auto type = text_field(event, "type");
+        const auto &object = object_field(event, "object");
         if (type == "ERROR") {
             expired = true;
             return;
         }
-        version = object.value("metadata", json::object())
-                      .value("resourceVersion", version);
+        version = text_field(object_field(object, "metadata"),
+                             "resourceVersion", version);
         if (type == "ADDED" || type == "MODIFIED")
             on_change(to_object(resource, object));
     };
@@ -186,7 +198,7 @@
                                  : client.Put(path, body, json_type);
     if (response && (response->status == 200 || response->status == 201))
         return to_object(platform_resource::contracts,
-                         json::parse(response->body));
+                         parse_json(response->body));
     if (response && response->status < 500)
         return refused_error(*response);
     // The write may have taken effect although its response was lost or
