dogwoodtrackd-carried: accept fractions and absent values in settings

What callers saw: balancers that were stopped for planned work did not come back.

Cause: times were read as whole numbers. An empty list of seeds or a value left out by the template ended the process, too.

Why the fix works: times are numbers in milliseconds after reading, and what the template leaves empty counts as not given, so that defaults apply.

--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -1,5 +1,7 @@
 #include "settings.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <sys/stat.h>
 
@@ -22,10 +24,26 @@
     std::string store;
     std::vector<std::string> seeds;
     std::string log_level = "info";
-    std::int64_t stop_deadline_s = 6;
-    std::int64_t flow_lifetime_s = 60;
-    std::int64_t apply_within_ms = 3'000;
-    std::int64_t drain_within_ms = 3'000;
+    double stop_deadline_s = 6;
+    double flow_lifetime_s = 60;
+    double apply_within_ms = 3'000;
+    double drain_within_ms = 3'000;
+};
+
+/// Format of the settings file. A setting without a value, or with an empty
+/// list, counts as not given: the platform's template leaves out what it does
+/// not know.
+struct settings_format : CLI::ConfigBase {
+    auto from_config(std::istream &input) const
+        -> std::vector<CLI::ConfigItem> override {
+        auto items = ConfigBase::from_config(input);
+        std::erase_if(items, [](const CLI::ConfigItem &it) {
+            return std::all_of(
+                it.inputs.begin(), it.inputs.end(),
+                [](const std::string &value) { return value.empty(); });
+        });
+        return items;
+    }
 };
 
 auto add_endpoint_settings(CLI::App &app, raw_settings &raw) -> void {
@@ -72,17 +90,17 @@
         "Whether the whole system is starting for the first time");
     add("--stop-deadline", raw.stop_deadline_s, "STOP_DEADLINE",
         "Seconds after which a planned stop ends in any case")
-        ->check(CLI::Range(1, 86'400));
+        ->check(CLI::Range(0.0, 86'400.0));
     add("--flow-lifetime", raw.flow_lifetime_s, "FLOW_LIFETIME",
         "Maximum duration of a flow in seconds")
-        ->check(CLI::Range(1, 86'400));
+        ->check(CLI::Range(0.1, 86'400.0));
     add("--apply-within-ms", raw.apply_within_ms, "APPLY_WITHIN_MS",
         "Milliseconds within which a new configuration must be in force")
-        ->check(CLI::Range(100, 3'600'000));
+        ->check(CLI::Range(100.0, 3'600'000.0));
     add("--drain-within-ms", raw.drain_within_ms, "DRAIN_WITHIN_MS",
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
-        ->check(CLI::Range(100, 3'600'000));
+        ->check(CLI::Range(100.0, 3'600'000.0));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
@@ -109,13 +127,20 @@
     return boost::outcome_v2::success();
 }
 
+auto to_milliseconds(double ms) -> milliseconds {
+    return milliseconds{std::llround(ms)};
+}
+
 auto apply_times(const raw_settings &raw, carried_settings &it) -> void {
-    it.balancer.stop_deadline = seconds{raw.stop_deadline_s};
+    constexpr double ms_per_second = 1'000;
+    it.balancer.stop_deadline =
+        to_milliseconds(raw.stop_deadline_s * ms_per_second);
     if (it.balancer.stop_deadline > 2 * exit_margin)
         it.balancer.stop_deadline -= exit_margin;
     it.balancer.apply_within =
-        milliseconds{std::min(raw.apply_within_ms, raw.drain_within_ms)};
-    it.balancer.flow_lifetime = seconds{raw.flow_lifetime_s};
+        to_milliseconds(std::min(raw.apply_within_ms, raw.drain_within_ms));
+    it.balancer.flow_lifetime =
+        to_milliseconds(raw.flow_lifetime_s * ms_per_second);
     it.min_severity = parse_severity(raw.log_level);
 }
 
@@ -140,6 +165,7 @@
     auto *file = app.set_config("--settings", settings_file(),
                                 "File with settings, named like the flags; "
                                 "also DOGWOODTRACK_SETTINGS");
+    app.config_formatter(std::make_shared<settings_format>());
     app.allow_config_extras(CLI::config_extras_mode::error);
     try {
         app.parse(argc, argv);
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -54,7 +54,7 @@
     milliseconds apply_within{3'000};
     std::size_t flow_capacity = 50'000; ///< maximum number of tracked flows
     milliseconds stop_deadline{5'000};  ///< maximum duration of a planned stop
-    seconds flow_lifetime{60};          ///< expected maximum duration of a flow
+    milliseconds flow_lifetime{60'000}; ///< expected maximum duration of a flow
     /// Returns the settings if they have changed since the last call and are
     /// valid. Called about once per second. An empty function means that
     /// settings are never reloaded.
