upstreams: an entry with an upstream's address does not prove its death

Cause: of two entries with one address, the later revision won, whatever its service, and the other upstream counted as dead for good.

A live upstream has its entry and answers. The judgement is derived from the table each time and ends with the evidence.

--- a/src/libdogwoodtrack/carried/configuration.cpp
+++ b/src/libdogwoodtrack/carried/configuration.cpp
@@ -23,6 +23,16 @@
     return &*found;
 }
 
+auto names_service(const configuration &it, service_key service) -> bool {
+    return std::any_of(
+        it.routes.begin(), it.routes.end(), [service](const route_spec &route) {
+            return std::any_of(route.services.begin(), route.services.end(),
+                               [service](const weighted_service &one) {
+                                   return one.service == service;
+                               });
+        });
+}
+
 auto choose_service(const route_spec &route, std::uint64_t flow_hash)
     -> service_key {
     std::uint64_t total = 0;
--- a/src/libdogwoodtrack/carried/configuration.hpp
+++ b/src/libdogwoodtrack/carried/configuration.hpp
@@ -45,6 +45,9 @@
 auto find_route(const configuration &it, const endpoint &address)
     -> const route_spec *;
 
+/// Whether a route names this service. Thread safe.
+auto names_service(const configuration &it, service_key service) -> bool;
+
 /// Chooses the service that receives a new flow, by the weights of the route's
 /// services. Retransmissions of an opening packet have the same `flow_hash` and
 /// thus get the same service. If all weights are 0, returns the first service,
--- a/src/libdogwoodtrack/carried/dead_upstreams.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.cpp
@@ -169,6 +169,15 @@
            now - it.state_since >= unlisted_silence_limit;
 }
 
+auto is_superseded(const upstream_table &table, upstream_index index,
+                   const configuration &in_force, time_point now) -> bool {
+    const auto &it = table.all[index];
+    const auto silent = has_unanswered_request(it.stats) &&
+                        now - it.stats.silent_since >= listed_silence_limit;
+    return (it.record.state == upstream_state::gone || silent) &&
+           has_successor(table, index, in_force);
+}
+
 auto is_dead_with_entry(const upstream &it, time_point now) -> bool {
     return has_unanswered_request(it.stats) &&
            now - it.stats.silent_since >= listed_silence_limit &&
@@ -184,6 +193,7 @@
         contains(domains.unreachable_domains, domain))
         return upstream_death::cut_off;
     if (it.death == upstream_death::cut_off ||
+        it.death == upstream_death::superseded ||
         !has_unanswered_request(it.stats))
         return upstream_death::none;
     if (contains(table.mostly_silent_domains, domain))
@@ -196,20 +206,25 @@
 } // namespace
 
 auto find_dead_upstreams(upstream_table &table,
-                         const domain_reachability &domains, time_point now)
+                         const domain_reachability &domains,
+                         const configuration *in_force, time_point now)
     -> std::vector<upstream_index> {
     const auto paused =
         now - std::exchange(table.last_dead_scan, now) >= max_pause;
     const auto summaries = summarize_domains(table, now);
     restart_silence_timers(table, summaries, paused, now);
     update_suspected_domains(table, summaries, domains, now);
-    auto found = std::exchange(table.superseded, {});
+    std::vector<upstream_index> found;
     for (upstream_index i = 0; i < table.all.size(); ++i) {
         auto &it = table.all[i];
-        if (it.record.id.empty() || it.death == upstream_death::superseded)
+        if (it.record.id.empty())
             continue;
-        const auto before =
-            std::exchange(it.death, determine_death(table, domains, it, now));
+        const auto superseded =
+            in_force != nullptr && is_superseded(table, i, *in_force, now);
+        const auto death = superseded
+                               ? upstream_death::superseded
+                               : determine_death(table, domains, it, now);
+        const auto before = std::exchange(it.death, death);
         if (it.death != before && it.death != upstream_death::none)
             found.push_back(i);
     }
--- a/src/libdogwoodtrack/carried/dead_upstreams.hpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.hpp
@@ -9,13 +9,14 @@
 /// the failure it resets these flows, so that callers with idempotent requests
 /// retry immediately.
 ///
-/// An upstream is dead when a later incarnation has replaced it, when another
-/// upstream has taken its address, when its state is `gone` and a request to it
-/// stays unanswered, or when openings and requests of several flows to it stay
-/// unanswered while other upstreams of the same failure domain answer. A single
-/// unanswered flow is never enough while the store lists the upstream. A
-/// failure domain is cut off when none of its upstreams answers and none of its
-/// balancers answers probes, while other domains do.
+/// An upstream is dead when its state is `gone` and a request to it stays
+/// unanswered, when another one has its place (see `has_successor`) and it is
+/// `gone` or leaves a request unanswered, or when openings and requests of
+/// several flows to it stay unanswered while other upstreams of the same
+/// failure domain answer. A single unanswered flow is never enough while the
+/// store lists the upstream. A failure domain is cut off when none of its
+/// upstreams answers and none of its balancers answers probes, while other
+/// domains do.
 
 /// Reachability of failure domains as known from probes and peers.
 struct domain_reachability {
@@ -33,8 +34,10 @@
 /// longer time between two calls counts as a pause of this process, after which
 /// missing answers prove nothing, so the silence timers
 /// (`upstream_stats::silent_since`) restart.
+/// `in_force` is the configuration in force, or null.
 auto find_dead_upstreams(upstream_table &table,
-                         const domain_reachability &domains, time_point now)
+                         const domain_reachability &domains,
+                         const configuration *in_force, time_point now)
     -> std::vector<upstream_index>;
 
 /// Whether a flow to this upstream may be reset. `kind` is the request kind of
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/steering.cpp
@@ -206,7 +206,8 @@
         .own = state.position.failure_domain,
         .unreachable_domains = state.unreachable_domains,
         .reported_unresponsive = state.reported_unresponsive};
-    for (const auto index : find_dead_upstreams(state.upstreams, domains, now))
+    for (const auto index : find_dead_upstreams(state.upstreams, domains,
+                                                state.in_force.get(), now))
         dead.push_back({.index = index, .flows = {}});
     if (dead.empty())
         return dead;
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -66,24 +66,21 @@
     update_placeable(table, holder);
 }
 
-auto supersede(upstream_table &table, upstream_index index) -> void {
-    table.all[index].death = upstream_death::superseded;
-    table.superseded.push_back(index);
+// Registers an upstream at its address, unless one that started later is known
+// there. The time of the start decides, not the revision: the last write of the
+// previous holder may be carried out after the new holder's first one.
+auto claim_address(upstream_table &table, upstream_index index) -> void {
+    const auto &it = table.all[index];
+    const auto [at, added] =
+        table.by_address.try_emplace(it.record.address, index);
+    if (!added && is_older(table.all[at->second], it))
+        at->second = index;
 }
 
-// An address is assigned to another upstream only after its previous holder has
-// stopped, so the previous holder is dead.
-auto claim_address(upstream_table &table, upstream_index index) -> void {
-    const auto &it = table.all[index].record;
-    const auto [at, added] = table.by_address.try_emplace(it.address, index);
-    if (added || at->second == index)
-        return;
-    // An upstream whose entry is missing from the store does not claim the
-    // address: entries are removed with a delay, so the revision of the removal
-    // does not tell when the address became free.
-    if (it.state < upstream_state::lapsed &&
-        table.all[at->second].record.revision < it.revision)
-        supersede(table, std::exchange(at->second, index));
+auto release_address(upstream_table &table, upstream_index index) -> void {
+    const auto found = table.by_address.find(table.all[index].record.address);
+    if (found != table.by_address.end() && found->second == index)
+        table.by_address.erase(found);
 }
 
 auto allocate_index(upstream_table &table) -> upstream_index {
@@ -126,13 +123,30 @@
     remove_placeable(table, index);
     it.placeable = false;
     const auto changed = it.record.state != record.state;
+    if (record.address != it.record.address)
+        release_address(table, index);
     it.record = record;
+    claim_address(table, index);
     if (changed)
         it.state_since = now;
+    // Its entry is there again.
+    if (changed && it.death == upstream_death::superseded)
+        it.death = upstream_death::none;
     it.warm_at = now + record.cold_remaining;
     update_placeable(table, index);
 }
 
+// Index of the incarnation that `record` shows, or `no_upstream`.
+auto find_incarnation(const upstream_table &table,
+                      const upstream_record &record) -> upstream_index {
+    const auto index = index_by_code(table, binding_code(record));
+    if (index == no_upstream)
+        return no_upstream;
+    const auto &known = table.all[index].record;
+    return known.id == record.id && known.born == record.born ? index
+                                                              : no_upstream;
+}
+
 auto is_newer(const upstream_record &record, const upstream_record &known)
     -> bool {
     if (record.revision != known.revision)
@@ -148,9 +162,7 @@
     const auto coded = table.by_code.find(it.code);
     if (coded != table.by_code.end() && coded->second == index)
         table.by_code.erase(coded);
-    const auto placed = table.by_address.find(it.record.address);
-    if (placed != table.by_address.end() && placed->second == index)
-        table.by_address.erase(placed);
+    release_address(table, index);
     it = {};
     table.free.push_back(index);
 }
@@ -196,9 +208,13 @@
         return true;
     }
     set_state(table, index, upstream_state::gone, now);
-    if (record.address != known.address)
-        supersede(table, index);
-    add_upstream(table, record, now);
+    const auto previous = find_incarnation(table, record);
+    if (previous == no_upstream) {
+        add_upstream(table, record, now);
+        return true;
+    }
+    table.by_id[record.id] = previous;
+    replace_record(table, previous, record, now);
     return true;
 }
 
@@ -238,6 +254,21 @@
     }
 }
 
+auto has_successor(const upstream_table &table, upstream_index index,
+                   const configuration &in_force) -> bool {
+    const auto &it = table.all[index];
+    const auto has_its_place = [&](const auto &holders, const auto &key) {
+        const auto found = holders.find(key);
+        if (found == holders.end() || found->second == index)
+            return false;
+        const auto &other = table.all[found->second];
+        return other.record.born > it.record.born &&
+               names_service(in_force, other.record.service);
+    };
+    return has_its_place(table.by_id, it.record.id) ||
+           has_its_place(table.by_address, it.record.address);
+}
+
 auto index_by_code(const upstream_table &table, std::uint32_t code)
     -> upstream_index {
     const auto found = table.by_code.find(code);
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -83,9 +83,11 @@
 /// Reason why an upstream counts as dead.
 enum class upstream_death : std::uint8_t {
     none,
-    silent,    ///< its flows get no answers, see `find_dead_upstreams`
-    cut_off,   ///< its failure domain is unreachable
-    superseded ///< replaced by a new incarnation, or its address reassigned
+    silent,  ///< its flows get no answers, see `find_dead_upstreams`
+    cut_off, ///< its failure domain is unreachable
+    /// A later incarnation has its place or another upstream its address, and
+    /// its entry is gone or it leaves requests unanswered.
+    superseded
 };
 
 /// One incarnation of an upstream.
@@ -114,7 +116,7 @@
     /// Upstreams that may get new flows, ordered by identifier.
     boost::unordered_flat_map<service_key, std::vector<upstream_index>>
         placeable;
-    /// Latest upstream at each address.
+    /// The upstream at each address that started last.
     boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
         by_address;
     /// Upstreams with failures not yet reported to their outlier detector.
@@ -123,8 +125,6 @@
     /// ended, since `share_outcomes` last took this list. Changes announced by
     /// another balancer are not included.
     std::vector<upstream_index> ejection_changes;
-    /// Upstreams superseded since the last call of `find_dead_upstreams`.
-    std::vector<upstream_index> superseded;
     /// Time of the last call of `find_dead_upstreams`.
     time_point last_dead_scan{};
     /// Failure domains from which the flows of this instance get no answers.
@@ -145,8 +145,11 @@
 
 /// Applies a record unless the same or a newer one of this upstream is known. A
 /// new incarnation gets an element and a binding code of its own; the element
-/// of the earlier incarnation becomes `gone` and can still be found by the
-/// earlier code. Returns whether the record was applied to an upstream.
+/// of the previous incarnation becomes `gone` and can still be found by its
+/// code. If a record shows an incarnation that was replaced before, because a
+/// write of it was carried out late or its entry was overwritten for a while,
+/// its element is used again. Returns whether the record was applied to an
+/// upstream.
 auto apply_record(upstream_table &table, const upstream_record &record,
                   time_point now) -> bool;
 
@@ -166,6 +169,13 @@
 auto expire_upstreams(upstream_table &table, milliseconds retention,
                       time_point now) -> void;
 
+/// Whether an upstream of a service that `in_force` names has the place of
+/// `table.all[index]`: a later incarnation has its identifier, or an upstream
+/// that started later has its address. This alone does not prove that the
+/// earlier one has ended: another writer's entry can name any address.
+auto has_successor(const upstream_table &table, upstream_index index,
+                   const configuration &in_force) -> bool;
+
 /// Upstream with this binding code, or null if the code is unknown.
 auto find_by_code(upstream_table &table, std::uint32_t code) -> upstream *;
 
