balancer: correct the binding in packets of a known flow

Cause: a caller carries the binding that it received last, also from an upstream whose late answer to the opening it does not use. The balancer that knew the flow sent such packets to the right upstream with the wrong binding in them, and upstreams return what they received, so it never went away. The next balancer has nothing but the binding.

Why the fix works: the right binding is written into each packet that carries another one, the upstream returns it, and the caller carries it again, so that any balancer finds the upstream.

--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -16,10 +16,11 @@
 /// Interval between attempts to decide about held packets.
 constexpr milliseconds held_retry_interval{8};
 
+// Forwards a packet that carries the binding code `binding`.
 auto forward(balancer_context &it, std::span<std::uint8_t> packet,
-             const verdict &decision, bool opens) -> void {
+             const verdict &decision, std::uint32_t binding) -> void {
     const auto &upstream = it.state.steering.upstreams.all[decision.to];
-    if (opens)
+    if (decision.code != binding)
         it.codec.write_binding(packet, decision.code);
     std::span<std::uint8_t> space(packet.data() - delivery_headroom,
                                   delivery_headroom);
@@ -53,6 +54,18 @@
                {"opens", header.opens}});
 }
 
+auto record_correction(balancer_context &it, const packet_header &header,
+                       const verdict &decision) -> void {
+    ++it.state.counters.corrected_bindings;
+    if (!is_logged(severity::debug))
+        return;
+    log_event(
+        severity::debug, "binding_corrected",
+        {{"caller", to_string(header.endpoints.caller)},
+         {"service", to_string(header.endpoints.service)},
+         {"upstream", it.state.steering.upstreams.all[decision.to].record.id}});
+}
+
 auto track_opening(balancer_context &it, const packet_header &header,
                    std::span<const std::uint8_t> packet, time_point now)
     -> void {
@@ -75,7 +88,9 @@
     case verdict_kind::forward:
         if (header.opens)
             track_opening(it, header, packet, now);
-        return forward(it, packet, decision, header.opens);
+        else if (decision.code != header.binding)
+            record_correction(it, header, decision);
+        return forward(it, packet, decision, header.binding);
     case verdict_kind::reject:
         reset(it, header.endpoints, header.acknowledged);
         return record_refusal(it, header, decision);
@@ -207,7 +222,7 @@
         std::span<std::uint8_t> packet(buf.data() + delivery_headroom,
                                        pending.size);
         std::memcpy(packet.data(), pending.bytes.data(), pending.size);
-        forward(it, packet, decision, true);
+        forward(it, packet, decision, no_binding);
         ++it.state.counters.retried_openings;
         if (is_logged(severity::debug))
             log_event(
--- a/src/libdogwoodtrack/carried/balancer_test.cpp
+++ b/src/libdogwoodtrack/carried/balancer_test.cpp
@@ -30,8 +30,43 @@
     }
 };
 
+/// A store that lists one configuration and two upstreams and then reports no
+/// changes.
+class listing_store final : public store_interface {
+public:
+    explicit listing_store(std::vector<upstream_record> records)
+        : records_(std::move(records)) {}
+
+    auto start(const store_call &call, time_point) -> void override {
+        if (!call.list)
+            return;
+        answers_.push_back(call.what == feed::configuration
+                               ? make_configuration_list(3, 10)
+                               : make_upstream_list(records_, 10));
+    }
+    auto take_answers(time_point) -> std::vector<store_answer> override {
+        return std::exchange(answers_, {});
+    }
+    auto next_deadline() const -> time_point override {
+        return answers_.empty() ? time_point::max() : time_point{};
+    }
+
+private:
+    std::vector<upstream_record> records_;
+    std::vector<store_answer> answers_;
+};
+
+constexpr std::size_t binding_offset = 3;
+constexpr std::size_t packet_with_binding_size = 7;
+
+auto write_binding(std::span<std::uint8_t> packet, std::uint32_t code) -> void {
+    if (packet.size() >= packet_with_binding_size)
+        std::memcpy(packet.data() + binding_offset, &code, sizeof code);
+}
+
 // Parses a packet of these tests: one byte for the type, `o` if the packet
-// opens a flow, then the caller's port in two bytes.
+// opens a flow, the caller's port in two bytes, and possibly the binding code
+// in four.
 auto read_packet(std::span<const std::uint8_t> packet)
     -> std::optional<packet_header> {
     if (packet.size() < 3)
@@ -40,6 +75,9 @@
         opening_packet(static_cast<std::uint16_t>(packet[1] << 8 | packet[2]));
     header.endpoints.caller.address = INADDR_LOOPBACK;
     header.opens = packet[0] == 'o';
+    if (packet.size() >= packet_with_binding_size)
+        std::memcpy(&header.binding, packet.data() + binding_offset,
+                    sizeof header.binding);
     return header;
 }
 
@@ -53,10 +91,11 @@
 
 const packet_codec test_codec{
     .read = read_packet,
-    .write_binding = [](std::span<std::uint8_t>, std::uint32_t) {},
+    .write_binding = write_binding,
     .make_reset = make_reset,
-    .write_delivery = [](std::span<std::uint8_t>,
-                         std::uint64_t) { return std::size_t{0}; }};
+    .write_delivery = [](std::span<std::uint8_t>, std::uint64_t) {
+        return std::size_t{0};
+    }};
 
 // Opens a loopback socket on a port chosen by the kernel.
 auto open_loopback_socket(endpoint &local, int type = SOCK_DGRAM) -> int {
@@ -89,8 +128,83 @@
     }
 }
 
+/// A packet that an upstream received.
+struct received_packet {
+    std::uint8_t type = 0;
+    std::uint32_t code = 0;
+};
+
+// Waits for the next packet at the socket of an upstream.
+auto receive_packet(int fd) -> received_packet {
+    timeval timeout{.tv_sec = 5, .tv_usec = 0};
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    std::array<std::uint8_t, packet_with_binding_size> buf{};
+    REQUIRE(recv(fd, buf.data(), buf.size(), 0) ==
+            static_cast<ssize_t>(buf.size()));
+    received_packet it{.type = buf[0]};
+    std::memcpy(&it.code, buf.data() + binding_offset, sizeof it.code);
+    return it;
+}
+
 } // namespace
 
+// Guards against a flow that is sent to an upstream that does not have it: the
+// caller's packets keep the binding of a late answer that was not used, and so
+// do the packets of the flow's upstream, which return it.
+TEST_CASE("the binding of an answer that was not used is corrected in the "
+          "flow's packets") {
+    std::array<int, 2> upstreams{};
+    std::vector<upstream_record> records;
+    for (std::size_t i = 0; i < upstreams.size(); ++i) {
+        auto record = make_record("i-" + std::to_string(i), 5);
+        record.address = {};
+        upstreams[i] = open_loopback_socket(record.address);
+        records.push_back(record);
+    }
+    endpoint caller;
+    const auto fd = open_loopback_socket(caller);
+    const endpoint link{.address = INADDR_LOOPBACK + 1, .port = caller.port};
+    balancer_options options{.name = "b",
+                             .failure_domain = "one",
+                             .link = link,
+                             .peers = unused_endpoint(),
+                             .operators = unused_endpoint(SOCK_STREAM),
+                             .seeds = {},
+                             .stop_deadline = milliseconds{300},
+                             .reload = {}};
+    listing_store store(records);
+    event_loop loop;
+    std::atomic<bool> stop{false};
+    std::atomic<bool> ready{false};
+    std::thread balancer([&] {
+        CHECK(run_balancer(options, test_codec, store, loop, stop, ready));
+    });
+    wait_for_listener(options.operators);
+    const auto send_packet = [&](std::uint8_t type, std::uint32_t code) {
+        std::array<std::uint8_t, packet_with_binding_size> packet{type, 1, 7};
+        write_binding(packet, code);
+        send_datagram(fd, link, packet.data(), packet.size());
+    };
+    send_packet('o', no_binding);
+    // The first upstream does not answer in time, so the second one gets a copy
+    // of the opening.
+    const std::array openings{receive_packet(upstreams[0]),
+                              receive_packet(upstreams[1])};
+    CHECK(openings[0].code == binding_code(records[0]));
+    CHECK(openings[1].code == binding_code(records[1]));
+    // Completes the handshake with the second one; then the first one answers.
+    const auto code = openings[1].code;
+    send_packet('d', code);
+    CHECK(receive_packet(upstreams[1]).code == code);
+    send_packet('d', openings[0].code);
+    CHECK(receive_packet(upstreams[1]).code == code);
+    stop = true;
+    balancer.join();
+    for (const auto one : upstreams)
+        close(one);
+    close(fd);
+}
+
 TEST_CASE("a planned stop rejects the opening packets that are still held") {
     // A reset is sent to the caller's address and the balancer's own port
     // number, so caller and balancer use the same port number on two loopback
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -51,6 +51,9 @@
     std::uint64_t forwarded = 0; ///< packets sent to upstreams
     /// Opening packets that were also sent to a second upstream.
     std::uint64_t retried_openings = 0;
+    /// Packets of established flows whose binding code was that of an upstream
+    /// that the flow does not use.
+    std::uint64_t corrected_bindings = 0;
     /// Flows reset because their upstream was dead or cut off.
     std::uint64_t flows_reset = 0;
     /// Packets held because the configuration or the upstreams were not known.
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows.hpp
@@ -30,6 +30,9 @@
     std::uint16_t payload = 0;      ///< size in bytes
 };
 
+/// Binding code in packets of callers that have not received any.
+inline constexpr std::uint32_t no_binding = 0;
+
 /// A caller's attempt to open a flow times out after this time.
 inline constexpr milliseconds connect_timeout{1'400};
 
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -73,6 +73,7 @@
     const auto &counters = it.counters;
     write_counter(out, "forwarded_total", counters.forwarded);
     write_counter(out, "tried_again_total", counters.retried_openings);
+    write_counter(out, "bindings_corrected_total", counters.corrected_bindings);
     write_counter(out, "withdrawals_total", counters.withdrawals);
     write_counter(out, "flows_reset_total", counters.flows_reset);
     write_counter(out, "waited_for_state_total", counters.held);
--- a/src/libdogwoodtrack/carried/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/steering_test.cpp
@@ -76,6 +76,34 @@
     CHECK(decision.why == refusal::no_upstream);
 }
 
+// Guards against a flow that is sent to an upstream that does not have it, once
+// the fabric hands its packets to another balancer.
+TEST_CASE("a packet with the binding of an upstream whose answer was not used "
+          "gets the binding of its flow's upstream") {
+    for (const auto first_answers_first : {true, false}) {
+        auto state = make_state_with_upstreams(3);
+        const auto first = steer(state, opening_packet(7), start);
+        const auto second = steer_retry(state, opening_packet(7).endpoints,
+                                        start + opening_retry_delay);
+        REQUIRE(second.kind == verdict_kind::forward);
+        const auto &used = first_answers_first ? first : second;
+        const auto &late = first_answers_first ? second : first;
+        const auto completed =
+            steer(state, later_packet(7, used.code), start + milliseconds{60});
+        CHECK(completed.code == used.code);
+        for (const std::uint16_t payload : {0, 100}) {
+            const auto corrected =
+                steer(state, later_packet(7, late.code, payload),
+                      start + milliseconds{80});
+            CHECK(corrected.to == used.to);
+            CHECK(corrected.code == used.code);
+        }
+        // Another balancer, which does not know the flow.
+        auto other = make_state_with_upstreams(3);
+        CHECK(steer(other, later_packet(7, used.code), start).to == used.to);
+    }
+}
+
 TEST_CASE("unanswered opening is sent to a second upstream") {
     auto state = make_state_with_upstreams(3);
     const auto first = steer(state, opening_packet(7), start);
