gossip: tell peers since when removals of upstreams are known

What callers would see: openings sent to upstreams that have left, by a balancer that started with an old list while all its peers started after the removal, or after a partition of more than a minute.

Cause: the changes since a revision were taken to include all removals since then, but a balancer has no record of what was removed before its first list, or has forgotten it. Digests with equal content then confirmed the old state.

Why the fix works: a version carries removals_since; a balancer with an older state gets all records and retires what is missing from them. Parts of sets with different starts are no longer joined, a flaw of the same kind.

The new field of the message is optional; balancers without it behave as before.

--- a/src/libdogwoodtrack/carried/fleet.hpp
+++ b/src/libdogwoodtrack/carried/fleet.hpp
@@ -26,6 +26,10 @@
     time_point confirmed{};
     /// The whole feed was read at least once, from the store or from a peer.
     bool complete = false;
+    /// Upstreams only: a record of every upstream that was removed after this
+    /// store revision is known. One removed earlier may never have been known
+    /// here, or was forgotten.
+    std::uint64_t removals_since = 0;
 };
 
 /// A balancer known from gossip. Its address identifies it, since all balancers
--- a/src/libdogwoodtrack/carried/gossip.cpp
+++ b/src/libdogwoodtrack/carried/gossip.cpp
@@ -43,12 +43,22 @@
 /// the store is taken to have been unreachable.
 constexpr int unreachable_percent = 50;
 
-auto make_reported_version(const feed_version &it, time_point now)
+// Store revision since which this balancer knows all removals of a feed.
+auto removals_since(const blackboard &board, feed what) -> std::uint64_t {
+    if (what != feed::upstreams)
+        return 0;
+    return std::max(version_of(board, what).removals_since,
+                    board.steering.upstreams.forgotten);
+}
+
+auto make_reported_version(const blackboard &board, feed what, time_point now)
     -> reported_version {
+    const auto &it = version_of(board, what);
     return {.content = it.content,
             .as_of = it.as_of,
             .age = std::chrono::ceil<milliseconds>(now - it.confirmed),
-            .complete = it.complete};
+            .complete = it.complete,
+            .removals_since = removals_since(board, what)};
 }
 
 auto make_digest(blackboard &board, std::size_t member_limit, time_point now)
@@ -58,7 +68,8 @@
     digest.sender.leaving = board.leaving;
     digest.wants_state = !can_serve(board);
     for (std::size_t i = 0; i < feed_count; ++i)
-        digest.versions[i] = make_reported_version(board.versions[i], now);
+        digest.versions[i] =
+            make_reported_version(board, static_cast<feed>(i), now);
     for (const auto &member :
          select_digest_members(board.members, member_limit, now))
         digest.members.push_back(
@@ -93,11 +104,15 @@
     return records;
 }
 
+// Sends the records that changed after `since`, or all of them if a removal
+// after `since` may be unknown here: the receiver then finds out what is
+// missing.
 auto send_records(const blackboard &board, std::uint32_t to,
                   std::uint64_t since, time_point now,
                   std::vector<outgoing_message> &out) -> void {
-    const auto version =
-        make_reported_version(version_of(board, feed::upstreams), now);
+    if (since < removals_since(board, feed::upstreams))
+        since = 0;
+    const auto version = make_reported_version(board, feed::upstreams, now);
     add_messages(to, split_records(records_since(board, since), since, version),
                  out);
 }
@@ -106,8 +121,7 @@
                  std::vector<outgoing_message> &out) -> void {
     if (!board.steering.in_force)
         return;
-    const auto version =
-        make_reported_version(version_of(board, feed::configuration), now);
+    const auto version = make_reported_version(board, feed::configuration, now);
     add_messages(to, split_routes(*board.steering.in_force, version), out);
 }
 
@@ -146,8 +160,7 @@
     const auto records = records_since(board, since);
     if (records.size() > max_pushed_records)
         return advertise(board, except, now, out);
-    const auto version =
-        make_reported_version(version_of(board, feed::upstreams), now);
+    const auto version = make_reported_version(board, feed::upstreams, now);
     const auto parts = split_records(records, since, version);
     for (const auto to : select_push_peers(board, except, now))
         add_messages(to, parts, out);
@@ -211,6 +224,9 @@
         return adopt_confirmation(board, what, reported, now);
     if (!reported.complete)
         return;
+    // The peer may not know of a removal that is not known here either.
+    if (own_version.complete && own_version.as_of < reported.removals_since)
+        return pull(board, from, what, now, out);
     if (own_version.complete && reported.content == own_version.content)
         return adopt_confirmation(board, what, reported, now);
     if (!own_version.complete || reported.content > own_version.content)
@@ -280,6 +296,23 @@
     adopt_confirmation(board, what, reported, now);
 }
 
+// Retires the upstreams that are missing from a peer's complete set of records,
+// and records since when removals are known. Returns whether any upstream was
+// changed.
+auto adopt_complete_set(blackboard &board, const std::vector<std::string> &ids,
+                        const reported_version &reported, time_point now)
+    -> bool {
+    auto &own_version = version_of(board, feed::upstreams);
+    const auto retired =
+        retire_missing(board.steering.upstreams, ids, reported.as_of,
+                       upstream_state::gone, now);
+    if (retired)
+        own_version.content = std::max(own_version.content, reported.as_of);
+    if (!own_version.complete || own_version.as_of < reported.removals_since)
+        own_version.removals_since = reported.removals_since;
+    return retired;
+}
+
 auto handle_message(blackboard &board, std::uint32_t from,
                     const records_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
@@ -294,9 +327,12 @@
     if (!is_contiguous)
         return pull(board, from, feed::upstreams, now, out);
     board.last_pulled[static_cast<std::size_t>(feed::upstreams)] = now;
-    if (!add_records_part(board.incoming_records, from, message))
+    const auto ids = add_records_part(board.incoming_records, from, message);
+    if (!ids)
         return;
     const auto initial = !own_version.complete;
+    if (message.from == 0)
+        changed |= adopt_complete_set(board, *ids, message.version, now);
     adopt_version(board, feed::upstreams, message.version, now);
     board.steering.upstreams_known = true;
     board.last_pulled[static_cast<std::size_t>(feed::upstreams)] = {};
@@ -382,16 +418,6 @@
     return record;
 }
 
-auto sorted_ids(const std::vector<upstream_record> &records)
-    -> std::vector<std::string> {
-    std::vector<std::string> ids;
-    ids.reserve(records.size());
-    for (const auto &record : records)
-        ids.push_back(record.id);
-    std::sort(ids.begin(), ids.end());
-    return ids;
-}
-
 // Revision at which peers learn that `record`, which was in an answer of the
 // store, has changed. A removal may be known by an earlier revision than the
 // answer gives it.
@@ -425,6 +451,7 @@
     if (answer.outcome != store_outcome::listed)
         return changed;
     board.steering.upstreams_known = true;
+    version_of(board, feed::upstreams).removals_since = answer.as_of;
     if (answer.may_be_stale)
         return changed;
     const auto retired =
--- a/src/libdogwoodtrack/carried/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/gossip_test.cpp
@@ -384,6 +384,72 @@
     CHECK(version_of(b, feed::upstreams).as_of == 14);
 }
 
+// Guards against upstreams that have left and are in use again after a restart:
+// no peer had a record of their removal.
+TEST_CASE("an upstream that only an old list shows becomes gone, although the "
+          "peers started after its removal") {
+    for (const auto peer_knows_more : {true, false}) {
+        auto a = make_blackboard(1);
+        auto b = make_blackboard(2);
+        introduce({&a, &b});
+        for (auto *it : {&a, &b})
+            apply_answer(*it, make_configuration_list(3, 10), start);
+        apply_answer(a,
+                     make_upstream_list(
+                         {make_record("i-1", peer_knows_more ? 18 : 5)}, 20),
+                     start);
+        auto stale = make_upstream_list(
+            {make_record("i-1", 5), make_record("i-left", 6)}, 10);
+        stale.may_be_stale = true;
+        apply_answer(b, stale, start);
+        for (int i = 1; i <= 4; ++i) {
+            const auto now = start + milliseconds{500} * i;
+            deliver({&a, &b}, 2, {{.to = 1, .message = make_digest_of(b)}},
+                    now);
+            deliver({&a, &b}, 1, {{.to = 2, .message = make_digest_of(a)}},
+                    now);
+        }
+        CHECK(count_placeable(b) == 1);
+        CHECK(count_placeable(a) == 1);
+        CHECK(version_of(b, feed::upstreams).as_of == 20);
+    }
+}
+
+// Guards against the same after a network partition that lasts longer than
+// removed upstreams are remembered.
+TEST_CASE("an upstream that was removed and forgotten during a partition "
+          "becomes gone after it") {
+    board_pair two;
+    const auto removed_at = start + seconds{3};
+    apply_answer(two.a, make_changes({}, 11), start + seconds{2});
+    apply_answer(two.a, make_changes({make_deletion("i-1", 12)}, 12),
+                 removed_at);
+    const auto healed = removed_at + seconds{120};
+    // The entry lapses first, since `a` had no answer for a while.
+    for (const auto now : {removed_at + seconds{5}, healed})
+        expire_upstreams(two.a.steering.upstreams, seconds{65}, now);
+    REQUIRE_FALSE(two.a.steering.upstreams.by_id.contains("i-1"));
+    apply_answer(two.a, make_changes({make_record("i-2", 30)}, 30), healed);
+    deliver({&two.a, &two.b}, 1, {{.to = 2, .message = make_digest_of(two.a)}},
+            healed);
+    CHECK(count_placeable(two.b) == 1);
+    CHECK(version_of(two.b, feed::upstreams).as_of == 30);
+}
+
+TEST_CASE("a set of records is complete only if all its parts start at the "
+          "same revision") {
+    records_message first{.from = 0,
+                          .version = {.content = 9, .as_of = 9},
+                          .parts = 2,
+                          .records = {make_record("i-1", 5)}};
+    auto second = first;
+    second.part = 1;
+    second.from = 7;
+    partial_records partial;
+    CHECK_FALSE(add_records_part(partial, 1, first));
+    CHECK_FALSE(add_records_part(partial, 1, second));
+}
+
 TEST_CASE("a probe message that ends between the tag and the value of a bool "
           "field is rejected") {
     // Field 7 (probe) with a length of one byte: the tag of field 1
--- a/src/libdogwoodtrack/carried/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/peer_fields.hpp
@@ -38,7 +38,8 @@
     content = 1,
     as_of = 2,
     age_ms = 3,
-    complete = 4
+    complete = 4,
+    removals_since = 5
 };
 enum class digest_field : protozero::pbf_tag_type {
     sender = 1,
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages.cpp
@@ -28,6 +28,8 @@
     out.add_uint64(version_field::as_of, it.as_of);
     out.add_uint64(version_field::age_ms, to_wire_ms(it.age));
     out.add_bool(version_field::complete, it.complete);
+    if (it.removals_since > 0)
+        out.add_uint64(version_field::removals_since, it.removals_since);
 }
 
 auto write(builder<record_field> out, const upstream_record &it) -> void {
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/peer_messages.hpp
@@ -19,6 +19,7 @@
     std::uint64_t as_of = 0;
     milliseconds age{0}; ///< since the store last confirmed `as_of`
     bool complete = false;
+    std::uint64_t removals_since = 0;
 };
 
 /// A member as reported by a peer.
@@ -42,7 +43,8 @@
     std::uint64_t since = 0;
 };
 
-/// One part of the upstream records that changed after store revision `from`.
+/// One part of the upstream records that changed after store revision `from`. A
+/// set with `from` 0 has all upstreams that the sender knows.
 struct records_message {
     std::uint64_t from = 0;
     reported_version version;
--- a/src/libdogwoodtrack/carried/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/peer_messages_read.cpp
@@ -62,6 +62,9 @@
         case version_field::complete:
             it.complete = read_flag(in);
             break;
+        case version_field::removals_since:
+            it.removals_since = in.get_uint64();
+            break;
         default:
             in.skip();
         }
--- a/src/libdogwoodtrack/carried/reassembly.cpp
+++ b/src/libdogwoodtrack/carried/reassembly.cpp
@@ -1,25 +1,35 @@
 #include "reassembly.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace dogwoodtrack::carried {
 
 auto add_records_part(partial_records &partial, std::uint32_t sender,
-                      const records_message &message) -> bool {
+                      const records_message &message)
+    -> std::optional<std::vector<std::string>> {
     if (message.parts == 1)
-        return true;
-    if (partial.sender != sender || partial.as_of != message.version.as_of ||
+        return sorted_ids(message.records);
+    if (partial.sender != sender || partial.from != message.from ||
+        partial.as_of != message.version.as_of ||
         partial.arrived.size() != message.parts)
         partial = {.sender = sender,
+                   .from = message.from,
                    .as_of = message.version.as_of,
                    .arrived = std::vector<bool>(message.parts),
-                   .missing = message.parts};
+                   .missing = message.parts,
+                   .ids = {}};
     if (!partial.arrived[message.part]) {
         partial.arrived[message.part] = true;
         --partial.missing;
+        for (const auto &record : message.records)
+            partial.ids.push_back(record.id);
     }
     if (partial.missing > 0)
-        return false;
-    partial = {};
-    return true;
+        return std::nullopt;
+    auto ids = std::exchange(partial, {}).ids;
+    std::sort(ids.begin(), ids.end());
+    return ids;
 }
 
 auto add_routes_part(partial_configuration &partial,
--- a/src/libdogwoodtrack/carried/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/reassembly.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "peer_messages.hpp"
 
@@ -17,17 +20,22 @@
 /// A set of records that is being received in parts.
 struct partial_records {
     std::uint32_t sender = 0;  ///< address of the balancer that sends the set
+    std::uint64_t from = 0;    ///< see `records_message::from`
     std::uint64_t as_of = 0;   ///< store revision that the set shows
     std::vector<bool> arrived; ///< which parts were received
     std::size_t missing = 0;   ///< parts not yet received
+    /// Identifiers of the upstreams in the parts received.
+    std::vector<std::string> ids;
 };
 
-/// Marks one part of a set of records as received; returns whether the set is
-/// complete. When a part of another set arrives, the parts received before are
-/// discarded, unless that other set has only one part. The caller of this
-/// function applies the records of every part.
+/// Marks one part of a set of records as received; returns the sorted
+/// identifiers of the upstreams in the set once it is complete. When a part of
+/// another set arrives, the parts received before are discarded, unless that
+/// other set has only one part. The caller of this function applies the records
+/// of every part.
 auto add_records_part(partial_records &partial, std::uint32_t sender,
-                      const records_message &message) -> bool;
+                      const records_message &message)
+    -> std::optional<std::vector<std::string>>;
 
 /// Adds one part of a configuration; returns the configuration once all parts
 /// were received, else null. Parts of an older revision are ignored.
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams.cpp
@@ -156,6 +156,7 @@
 
 auto erase_upstream(upstream_table &table, upstream_index index) -> void {
     auto &it = table.all[index];
+    table.forgotten = std::max(table.forgotten, it.record.changed_at);
     const auto named = table.by_id.find(it.record.id);
     if (named != table.by_id.end() && named->second == index)
         table.by_id.erase(named);
@@ -218,6 +219,16 @@
     return true;
 }
 
+auto sorted_ids(const std::vector<upstream_record> &records)
+    -> std::vector<std::string> {
+    std::vector<std::string> ids;
+    ids.reserve(records.size());
+    for (const auto &record : records)
+        ids.push_back(record.id);
+    std::sort(ids.begin(), ids.end());
+    return ids;
+}
+
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams.hpp
@@ -119,6 +119,8 @@
     /// The upstream at each address that started last.
     boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
         by_address;
+    /// Highest `changed_at` of the upstreams that were removed from the table.
+    std::uint64_t forgotten = 0;
     /// Upstreams with failures not yet reported to their outlier detector.
     std::vector<upstream_index> unreported_failures;
     /// Upstreams that this instance has ejected, or whose probation it has
@@ -153,12 +155,16 @@
 auto apply_record(upstream_table &table, const upstream_record &record,
                   time_point now) -> bool;
 
-/// Sets the state of all upstreams that are missing from a list that the store
-/// sent: to `gone` if the upstream was `draining`, else to `state`. `present`
-/// has the identifiers in the list, and `as_of` is the store revision that the
-/// list shows. Upstreams with a later revision, and those that are already
-/// `lapsed` or `gone`, are not changed. Returns whether any upstream was
-/// changed. Precondition: `present` is sorted.
+/// Sorted identifiers of the records.
+auto sorted_ids(const std::vector<upstream_record> &records)
+    -> std::vector<std::string>;
+
+/// Sets the state of all upstreams that are missing from a complete list: to
+/// `gone` if the upstream was `draining`, else to `state`. `present` has the
+/// identifiers in the list, and `as_of` is the store revision that the list
+/// shows. Upstreams with a later revision, and those that are already `lapsed`
+/// or `gone`, are not changed. Returns whether any upstream was changed.
+/// Precondition: `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
                     std::uint64_t as_of, upstream_state state, time_point now)
