platform: list the feed again if a watch's changes are too large

A watch whose changes exceed 16 MiB, as when another writer rewrites an entry of 1 MiB again and again during an outage, failed and was repeated from the same revision until the store had dropped its history.

The new test names that outcome, so it could not be run on the code before.

--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -5,8 +5,8 @@
 namespace dogwoodtrack::carried {
 
 auto to_string(store_outcome outcome) -> std::string_view {
-    static constexpr std::array names{"listed", "changed", "history_gone",
-                                      "refused", "failed"};
+    static constexpr std::array names{"listed",    "changed", "history_gone",
+                                      "too_large", "refused", "failed"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/libdogwoodtrack/carried/gossip.cpp
+++ b/src/libdogwoodtrack/carried/gossip.cpp
@@ -568,6 +568,7 @@
     case store_outcome::changed:
         return handle_success(board, answer, now, out);
     case store_outcome::history_gone:
+    case store_outcome::too_large:
         record_store_answer(board, answer.what, now);
         call.needs_list = true;
         return;
--- a/src/libdogwoodtrack/carried/store.hpp
+++ b/src/libdogwoodtrack/carried/store.hpp
@@ -15,6 +15,9 @@
     changed, ///< all changes after `since` of the call, possibly none
     /// The store no longer has all changes after `since`: list the feed again.
     history_gone,
+    /// The changes exceed the size limit of one answer: list the feed again,
+    /// since a list comes in pages.
+    too_large,
     refused, ///< the store answered with an error status
     failed   ///< connection failed, answer malformed or not in time
 };
--- a/src/libdogwoodtrack/carried/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/store_watch.cpp
@@ -169,6 +169,7 @@
     switch (answer.outcome) {
     case store_outcome::listed:
     case store_outcome::history_gone:
+    case store_outcome::too_large:
         call.not_before = now;
         return;
     case store_outcome::changed: {
--- a/src/libdogwoodtrack/carried/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/store_watch_test.cpp
@@ -159,16 +159,20 @@
     CHECK(watch->since == 10);
 }
 
-TEST_CASE("once the store has dropped its history, the feed is listed again "
-          "without accepting a stale list") {
-    auto it = make_fleet().front();
-    const store_answer dropped{.what = feed::upstreams,
-                               .outcome = store_outcome::history_gone};
-    std::vector<outgoing_message> out;
-    on_store_answer(it, dropped, start + seconds{2}, out);
-    schedule_next_call(it, dropped, start + seconds{2});
-    const auto call = next_store_call(it, feed::upstreams, start + seconds{2});
-    REQUIRE(call);
-    CHECK(call->list);
-    CHECK_FALSE(call->may_be_stale);
+TEST_CASE("once the store has dropped its history, or its changes exceed the "
+          "size of one answer, the feed is listed again without accepting a "
+          "stale list") {
+    for (const auto outcome :
+         {store_outcome::history_gone, store_outcome::too_large}) {
+        auto it = make_fleet().front();
+        const store_answer dropped{.what = feed::upstreams, .outcome = outcome};
+        std::vector<outgoing_message> out;
+        on_store_answer(it, dropped, start + seconds{2}, out);
+        schedule_next_call(it, dropped, start + seconds{2});
+        const auto call =
+            next_store_call(it, feed::upstreams, start + seconds{2});
+        REQUIRE(call);
+        CHECK(call->list);
+        CHECK_FALSE(call->may_be_stale);
+    }
 }
