--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -15,6 +15,7 @@
 #include "report.hpp"
 #include "rotation.hpp"
 #include "sockets.hpp"
+#include "store_answers.hpp"
 #include "store_watch.hpp"
 
 namespace dogwoodtrack::carried {
--- a/src/libdogwoodtrack/carried/gossip.cpp
+++ b/src/libdogwoodtrack/carried/gossip.cpp
@@ -35,13 +35,6 @@
 /// Largest number of changed records that are pushed. If there are more, peers
 /// are sent a digest and request the records.
 constexpr std::size_t max_pushed_records = 12;
-/// If the entry of a ready upstream is removed during an outage of the store or
-/// within this time after it, the state of the upstream becomes `lapsed`, not
-/// `gone`, as the entry may reappear.
-constexpr milliseconds lapse_window{2'500};
-/// Part of `apply_within`, in percent: if a feed was unconfirmed for longer,
-/// the store is taken to have been unreachable.
-constexpr int unreachable_percent = 50;
 
 // Store revision since which this balancer knows all removals of a feed.
 auto removals_since(const blackboard &board, feed what) -> std::uint64_t {
@@ -144,28 +137,6 @@
     return peers;
 }
 
-// Sends a digest without members to a few peers. They request the state that is
-// new to them and adopt the store's confirmation of state that they have.
-auto advertise(blackboard &board, std::uint32_t except, time_point now,
-               std::vector<outgoing_message> &out) -> void {
-    for (const auto to : select_push_peers(board, except, now))
-        out.push_back({.to = to, .message = make_digest(board, 0, now)});
-}
-
-// Pushes changed records to a few peers, which forward them. If there are more
-// records than `max_pushed_records`, the peers are sent a digest instead.
-auto forward_records(blackboard &board, std::uint64_t since,
-                     std::uint32_t except, time_point now,
-                     std::vector<outgoing_message> &out) -> void {
-    const auto records = records_since(board, since);
-    if (records.size() > max_pushed_records)
-        return advertise(board, except, now, out);
-    const auto version = make_reported_version(board, feed::upstreams, now);
-    const auto parts = split_records(records, since, version);
-    for (const auto to : select_push_peers(board, except, now))
-        add_messages(to, parts, out);
-}
-
 // ---- digests
 
 auto has_own_domain_peer(const fleet &members, time_point now) -> bool {
@@ -342,16 +313,6 @@
 
 // ---- configurations
 
-auto activate_configuration(blackboard &board,
-                            std::shared_ptr<configuration> next) -> bool {
-    auto &current = board.steering.in_force;
-    if (current && next->revision <= current->revision)
-        return false;
-    sort_routes(*next);
-    current = std::move(next);
-    return true;
-}
-
 auto handle_message(blackboard &board, std::uint32_t from,
                     const routes_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
@@ -390,139 +351,36 @@
     handle_probe(board, from, message, now, out);
 }
 
-// ---- answers of the store
-
-// Whether an upstream's entry that is removed now may reappear soon, because
-// the store is unreachable or was so until recently.
-auto may_reappear(const blackboard &board, time_point now) -> bool {
-    return board.store_unreachable ||
-           now - board.store_recovered < lapse_window;
-}
-
-// Returns the record to apply: `record`, with its state changed from `gone` to
-// `lapsed` if the known state of the upstream is `lapsed` already, or if it is
-// `ready` and the store is unreachable or was so until recently. A lapsed
-// upstream keeps receiving new flows for `lapse_grace`. For a draining upstream
-// the state `gone` is kept.
-auto lapse_if_may_reappear(const blackboard &board, upstream_record record,
-                           time_point now) -> upstream_record {
-    const auto &table = board.steering.upstreams;
-    const auto found = table.by_id.find(record.id);
-    if (record.state != upstream_state::gone || found == table.by_id.end())
-        return record;
-    const auto known = table.all[found->second].record.state;
-    const auto lapses =
-        known == upstream_state::ready && may_reappear(board, now);
-    if (lapses || known == upstream_state::lapsed)
-        record.state = upstream_state::lapsed;
-    return record;
-}
-
-// Revision at which peers learn that `record`, which was in an answer of the
-// store, has changed. A removal may be known by an earlier revision than the
-// answer gives it.
-auto revision_of_change(const upstream_table &table,
-                        const upstream_record &record) -> std::uint64_t {
-    const auto found = table.by_id.find(record.id);
-    if (found == table.by_id.end())
-        return record.changed_at;
-    return std::min(record.changed_at,
-                    table.all[found->second].record.changed_at);
-}
-
-// Applies the upstreams in an answer of the store, and counts their changes
-// towards the version of the feed. Changes later than the answer's `as_of` do
-// not count: the answer need not show all earlier ones, as when a further page
-// of a list was read later. For the same reason, records pushed by peers count
-// only once a version covers them: balancers with equal `content` take each
-// other to have all changes up to it.
-auto apply_records(blackboard &board, const store_answer &answer,
-                   time_point now) -> bool {
-    auto changed = false;
-    auto &table = board.steering.upstreams;
-    auto &content = version_of(board, feed::upstreams).content;
-    for (const auto &record : answer.records) {
-        changed |=
-            apply_record(table, lapse_if_may_reappear(board, record, now), now);
-        const auto revision = revision_of_change(table, record);
-        if (revision <= answer.as_of)
-            content = std::max(content, revision);
-    }
-    if (answer.outcome != store_outcome::listed)
-        return changed;
-    board.steering.upstreams_known = true;
-    version_of(board, feed::upstreams).removals_since = answer.as_of;
-    if (answer.may_be_stale)
-        return changed;
-    const auto retired =
-        retire_missing(table, sorted_ids(answer.records), answer.as_of,
-                       may_reappear(board, now) ? upstream_state::lapsed
-                                                : upstream_state::gone,
-                       now);
-    if (retired)
-        content = std::max(content, answer.as_of);
-    return changed || retired;
-}
+} // namespace
 
-// Whether the store was unreachable before the answer that arrives now: this
-// balancer's last call was refused or failed, or the feed was unconfirmed for
-// longer than a watch takes, so that no balancer can have got an answer.
-auto was_store_unreachable(const blackboard &board,
-                           const feed_version &own_version, time_point now)
-    -> bool {
-    const auto unconfirmed = own_version.confirmed != time_point{} &&
-                             now - own_version.confirmed >=
-                                 board.apply_within * unreachable_percent / 100;
-    return board.store_unreachable || unconfirmed;
+auto advertise(blackboard &board, std::uint32_t except, time_point now,
+               std::vector<outgoing_message> &out) -> void {
+    for (const auto to : select_push_peers(board, except, now))
+        out.push_back({.to = to, .message = make_digest(board, 0, now)});
 }
 
-// Records that the store answered a call. Ends a takeover if, according to
-// peers, the store has confirmed the feed to another balancer since the
-// previous answer to this one: another balancer watches the store again.
-auto record_store_answer(blackboard &board, feed what, time_point now) -> void {
-    constexpr milliseconds confirmation_margin{50};
-    auto &call = board.calls[static_cast<std::size_t>(what)];
-    if (was_store_unreachable(board, version_of(board, what), now))
-        board.store_recovered = now;
-    board.store_unreachable = false;
-    if (call.last_peer_confirmation > call.last_success + confirmation_margin)
-        call.taken_over = false;
-    call.failures = 0;
-    call.last_success = now;
+auto forward_records(blackboard &board, std::uint64_t since,
+                     std::uint32_t except, time_point now,
+                     std::vector<outgoing_message> &out) -> void {
+    const auto records = records_since(board, since);
+    if (records.size() > max_pushed_records)
+        return advertise(board, except, now, out);
+    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto parts = split_records(records, since, version);
+    for (const auto to : select_push_peers(board, except, now))
+        add_messages(to, parts, out);
 }
 
-auto handle_success(blackboard &board, const store_answer &answer,
-                    time_point now, std::vector<outgoing_message> &out)
-    -> void {
-    auto &own_version = version_of(board, answer.what);
-    auto &call = board.calls[static_cast<std::size_t>(answer.what)];
-    record_store_answer(board, answer.what, now);
-    call.needs_list = false;
-    const auto previous_as_of = own_version.as_of;
-    const auto initial = !own_version.complete;
-    auto changed = false;
-    if (answer.what == feed::upstreams) {
-        changed = apply_records(board, answer, now);
-    } else if (answer.latest_configuration) {
-        changed = activate_configuration(board, answer.latest_configuration);
-        own_version.content = std::max(own_version.content,
-                                       answer.latest_configuration->revision);
-    }
-    own_version.as_of = std::max(own_version.as_of, answer.as_of);
-    if (!answer.may_be_stale)
-        own_version.confirmed = now;
-    own_version.complete =
-        answer.what == feed::upstreams || board.steering.in_force != nullptr;
-    if (answer.may_be_stale)
-        return;
-    if (changed && !initial && answer.what == feed::upstreams)
-        forward_records(board, previous_as_of, 0, now, out);
-    else
-        advertise(board, 0, now, out);
+auto activate_configuration(blackboard &board,
+                            std::shared_ptr<configuration> next) -> bool {
+    auto &current = board.steering.in_force;
+    if (current && next->revision <= current->revision)
+        return false;
+    sort_routes(*next);
+    current = std::move(next);
+    return true;
 }
 
-} // namespace
-
 auto send_digests(blackboard &board, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     expire_members(board.members, now);
@@ -558,25 +416,4 @@
              .message = make_digest(board, digest_member_limit, now)});
 }
 
-auto on_store_answer(blackboard &board, const store_answer &answer,
-                     time_point now, std::vector<outgoing_message> &out)
-    -> void {
-    auto &call = board.calls[static_cast<std::size_t>(answer.what)];
-    call.in_flight = false;
-    switch (answer.outcome) {
-    case store_outcome::listed:
-    case store_outcome::changed:
-        return handle_success(board, answer, now, out);
-    case store_outcome::history_gone:
-    case store_outcome::too_large:
-        record_store_answer(board, answer.what, now);
-        call.needs_list = true;
-        return;
-    case store_outcome::refused:
-    case store_outcome::failed:
-        ++call.failures;
-        board.store_unreachable = true;
-    }
-}
-
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/gossip.hpp
+++ b/src/libdogwoodtrack/carried/gossip.hpp
@@ -17,11 +17,23 @@
                      const peer_message &message, time_point now,
                      std::vector<outgoing_message> &out) -> void;
 
-/// Applies an answer of the store and forwards state that is new to this
-/// balancer to a few peers.
-auto on_store_answer(blackboard &board, const store_answer &answer,
-                     time_point now, std::vector<outgoing_message> &out)
-    -> void;
+/// Sends a digest without members to a few peers other than `except`. They
+/// request the state that is new to them and adopt the store's confirmation of
+/// state that they have.
+auto advertise(blackboard &board, std::uint32_t except, time_point now,
+               std::vector<outgoing_message> &out) -> void;
+
+/// Pushes the upstream records that changed after `since` to a few peers other
+/// than `except`, which forward them. If there are many, the peers are sent a
+/// digest instead.
+auto forward_records(blackboard &board, std::uint64_t since,
+                     std::uint32_t except, time_point now,
+                     std::vector<outgoing_message> &out) -> void;
+
+/// Puts a configuration in force unless the one in force is the same or newer.
+/// Returns whether it was put in force.
+auto activate_configuration(blackboard &board,
+                            std::shared_ptr<configuration> next) -> bool;
 
 /// Time between two digests.
 inline constexpr milliseconds digest_interval{500};
--- a/src/libdogwoodtrack/carried/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/store_watch_test.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include "gossip.hpp"
+#include "store_answers.hpp"
 #include "store_watch.hpp"
 #include "test_support.hpp"
 
--- a/src/libstandin/fleet_simulation_store.cpp
+++ b/src/libstandin/fleet_simulation_store.cpp
@@ -1,3 +1,4 @@
+#include "carried/store_answers.hpp"
 #include "fleet_simulation.hpp"
 
 #include <algorithm>
