store answers: ignore an old list after a later state of a peer

What callers would see: openings sent to upstreams that have left, by a balancer whose first list, some seconds old, arrived after a peer's complete set. The list added what had been removed before that set, and nothing retired it.

Why the fix works: a list that may be stale and is older than the complete state known by now has nothing to add to it.

--- a/src/libdogwoodtrack/carried/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/gossip_test.cpp
@@ -416,6 +416,25 @@
     }
 }
 
+// Guards against the same in another order: the list was under way while a peer
+// sent its complete set.
+TEST_CASE("an old list that arrives after a peer's later state is ignored") {
+    auto a = make_blackboard(1);
+    auto b = make_blackboard(2);
+    introduce({&a, &b});
+    apply_answer(a, make_configuration_list(3, 20), start);
+    apply_answer(a, make_upstream_list({make_record("i-1", 5)}, 20), start);
+    deliver({&a, &b}, 2, {{.to = 1, .message = make_digest_of(b)}}, start);
+    REQUIRE(can_serve(b));
+    auto stale = make_upstream_list(
+        {make_record("i-1", 5), make_record("i-left", 6)}, 10);
+    stale.may_be_stale = true;
+    apply_answer(b, stale, start + milliseconds{200});
+    CHECK(count_placeable(b) == 1);
+    CHECK(version_of(b, feed::upstreams).as_of == 20);
+    CHECK(version_of(b, feed::upstreams).removals_since == 20);
+}
+
 // Guards against the same after a network partition that lasts longer than
 // removed upstreams are remembered.
 TEST_CASE("an upstream that was removed and forgotten during a partition "
--- a/src/libdogwoodtrack/carried/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/store_answers.cpp
@@ -115,6 +115,15 @@
     call.last_success = now;
 }
 
+// Whether the answer is a list that is older than the complete state known by
+// now. It may show upstreams that were removed before that state, of which
+// there is no record.
+auto is_outdated(const feed_version &own_version, const store_answer &answer)
+    -> bool {
+    return answer.may_be_stale && own_version.complete &&
+           answer.as_of < own_version.as_of;
+}
+
 auto handle_success(blackboard &board, const store_answer &answer,
                     time_point now, std::vector<outgoing_message> &out)
     -> void {
@@ -122,6 +131,8 @@
     auto &call = board.calls[static_cast<std::size_t>(answer.what)];
     record_store_answer(board, answer.what, now);
     call.needs_list = false;
+    if (is_outdated(own_version, answer))
+        return;
     const auto previous_as_of = own_version.as_of;
     const auto initial = !own_version.complete;
     auto changed = false;
