--- a/src/libdogwoodtrack/carried/balancer_test.cpp
+++ b/src/libdogwoodtrack/carried/balancer_test.cpp
@@ -128,6 +128,46 @@
     }
 }
 
+/// A balancer on a thread of its own, and the socket of a caller. A reset is
+/// sent to the caller's address and the balancer's own port number, so both use
+/// the same port number on two loopback addresses.
+struct running_balancer {
+    endpoint caller_address;
+    int caller = open_loopback_socket(caller_address);
+    endpoint link{.address = INADDR_LOOPBACK + 1, .port = caller_address.port};
+    balancer_options options{.name = "b",
+                             .failure_domain = "one",
+                             .link = link,
+                             .peers = unused_endpoint(),
+                             .operators = unused_endpoint(SOCK_STREAM),
+                             .seeds = {},
+                             .stop_deadline = milliseconds{300},
+                             .reload = {}};
+    event_loop loop;
+    std::atomic<bool> stop{false};
+    std::atomic<bool> ready{false};
+    std::thread thread;
+
+    explicit running_balancer(store_interface &store)
+        : thread([this, &store] {
+              CHECK(
+                  run_balancer(options, test_codec, store, loop, stop, ready));
+          }) {
+        wait_for_listener(options.operators);
+    }
+
+    ~running_balancer() {
+        if (thread.joinable())
+            end();
+        close(caller);
+    }
+
+    auto end() -> void {
+        stop = true;
+        thread.join();
+    }
+};
+
 /// A packet that an upstream received.
 struct received_packet {
     std::uint8_t type = 0;
@@ -161,29 +201,12 @@
         upstreams[i] = open_loopback_socket(record.address);
         records.push_back(record);
     }
-    endpoint caller;
-    const auto fd = open_loopback_socket(caller);
-    const endpoint link{.address = INADDR_LOOPBACK + 1, .port = caller.port};
-    balancer_options options{.name = "b",
-                             .failure_domain = "one",
-                             .link = link,
-                             .peers = unused_endpoint(),
-                             .operators = unused_endpoint(SOCK_STREAM),
-                             .seeds = {},
-                             .stop_deadline = milliseconds{300},
-                             .reload = {}};
     listing_store store(records);
-    event_loop loop;
-    std::atomic<bool> stop{false};
-    std::atomic<bool> ready{false};
-    std::thread balancer([&] {
-        CHECK(run_balancer(options, test_codec, store, loop, stop, ready));
-    });
-    wait_for_listener(options.operators);
+    running_balancer it(store);
     const auto send_packet = [&](std::uint8_t type, std::uint32_t code) {
         std::array<std::uint8_t, packet_with_binding_size> packet{type, 1, 7};
         write_binding(packet, code);
-        send_datagram(fd, link, packet.data(), packet.size());
+        send_datagram(it.caller, it.link, packet.data(), packet.size());
     };
     send_packet('o', no_binding);
     // The first upstream does not answer in time, so the second one gets a copy
@@ -198,50 +221,26 @@
     CHECK(receive_packet(upstreams[1]).code == code);
     send_packet('d', openings[0].code);
     CHECK(receive_packet(upstreams[1]).code == code);
-    stop = true;
-    balancer.join();
+    it.end();
     for (const auto one : upstreams)
         close(one);
-    close(fd);
 }
 
 TEST_CASE("a planned stop rejects the opening packets that are still held") {
-    // A reset is sent to the caller's address and the balancer's own port
-    // number, so caller and balancer use the same port number on two loopback
-    // addresses.
-    endpoint caller;
-    const auto fd = open_loopback_socket(caller);
-    const endpoint link{.address = INADDR_LOOPBACK + 1, .port = caller.port};
-    balancer_options options{.name = "b",
-                             .failure_domain = "one",
-                             .link = link,
-                             .peers = unused_endpoint(),
-                             .operators = unused_endpoint(SOCK_STREAM),
-                             .seeds = {},
-                             .stop_deadline = milliseconds{300},
-                             .reload = {}};
     silent_store store;
-    event_loop loop;
-    std::atomic<bool> stop{false};
-    std::atomic<bool> ready{false};
-    std::thread balancer([&] {
-        CHECK(run_balancer(options, test_codec, store, loop, stop, ready));
-    });
-    wait_for_listener(options.operators);
+    running_balancer it(store);
     constexpr std::size_t openings = 20;
     for (std::size_t i = 0; i < openings; ++i) {
         const std::array<std::uint8_t, 3> packet{'o', 1,
                                                  static_cast<std::uint8_t>(i)};
-        send_datagram(fd, link, packet.data(), packet.size());
+        send_datagram(it.caller, it.link, packet.data(), packet.size());
     }
-    stop = true;
-    balancer.join();
+    it.end();
     std::size_t rejected = 0;
     std::array<std::uint8_t, 64> buf;
-    while (recv(fd, buf.data(), buf.size(), MSG_DONTWAIT) > 0)
+    while (recv(it.caller, buf.data(), buf.size(), MSG_DONTWAIT) > 0)
         rejected += buf[0] == 'r' ? 1 : 0;
     CHECK(rejected == openings);
-    close(fd);
 }
 
 TEST_CASE(
--- a/src/libdogwoodtrack/carried/dead_upstreams.cpp
+++ b/src/libdogwoodtrack/carried/dead_upstreams.cpp
@@ -50,6 +50,11 @@
     return it.silent_since > it.last_response;
 }
 
+auto is_silent_for(const upstream_stats &it, milliseconds limit, time_point now)
+    -> bool {
+    return has_unanswered_request(it) && now - it.silent_since >= limit;
+}
+
 auto restart_silence_timer(upstream_stats &it, time_point now) -> void {
     if (has_unanswered_request(it))
         it.silent_since = now;
@@ -66,8 +71,7 @@
         summary.silent_flows += it.stats.silent_flows;
         summary.last_response =
             std::max(summary.last_response, it.stats.last_response);
-        if (has_unanswered_request(it.stats) &&
-            now - it.stats.silent_since >= listed_silence_limit)
+        if (is_silent_for(it.stats, listed_silence_limit, now))
             ++summary.silent;
         else if (now - it.stats.last_response < answering_window)
             ++summary.answering;
@@ -164,23 +168,20 @@
 
 auto is_dead_without_entry(const upstream &it, time_point now) -> bool {
     return it.record.state == upstream_state::gone &&
-           has_unanswered_request(it.stats) &&
-           now - it.stats.silent_since >= unlisted_silence_limit &&
+           is_silent_for(it.stats, unlisted_silence_limit, now) &&
            now - it.state_since >= unlisted_silence_limit;
 }
 
 auto is_superseded(const upstream_table &table, upstream_index index,
                    const configuration &in_force, time_point now) -> bool {
     const auto &it = table.all[index];
-    const auto silent = has_unanswered_request(it.stats) &&
-                        now - it.stats.silent_since >= listed_silence_limit;
-    return (it.record.state == upstream_state::gone || silent) &&
+    return (it.record.state == upstream_state::gone ||
+            is_silent_for(it.stats, listed_silence_limit, now)) &&
            has_successor(table, index, in_force);
 }
 
 auto is_dead_with_entry(const upstream &it, time_point now) -> bool {
-    return has_unanswered_request(it.stats) &&
-           now - it.stats.silent_since >= listed_silence_limit &&
+    return is_silent_for(it.stats, listed_silence_limit, now) &&
            it.stats.silent_flows >= min_silent_flows &&
            it.stats.unanswered >= min_unanswered;
 }
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/steering.hpp
@@ -10,12 +10,10 @@
 /// Action for a caller's packet.
 enum class verdict_kind : std::uint8_t {
     /// Send the packet to `verdict::to`. If it carries another binding code
-    /// than
-    /// `verdict::code`, first write that one into it: an opening packet carries
-    /// none, and a later one may carry the code of an upstream whose late
-    /// answer
-    /// to the opening was not used. An upstream returns the code that it
-    /// received last, so the caller learns the right one again.
+    /// than `verdict::code`, first write that one into it: an opening packet
+    /// carries none, and a later one may carry the code of an upstream whose
+    /// late answer to the opening was not used. An upstream returns the code
+    /// that it received last, so the caller learns the right one again.
     forward,
     /// Reset the flow immediately. If the packet opens the flow, no request has
     /// been sent yet, so the caller may retry safely.
--- a/src/libdogwoodtrack/json_scan.cpp
+++ b/src/libdogwoodtrack/json_scan.cpp
@@ -1,7 +1,6 @@
 #include "json_scan.hpp"
 
 #include <string>
-#include <utility>
 
 namespace dogwoodtrack {
 
