--- a/fuzz/carried_peer.cpp
+++ b/fuzz/carried_peer.cpp
@@ -1,4 +1,4 @@
-#include "carried/gossip.hpp"
+#include "carried/feeds/gossip.hpp"
 
 using namespace dogwoodtrack;
 
--- /dev/null
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "dogwoodtrack/types.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// What the balancers of a failure domain saw of one service in an interval.
+struct limit_sample {
+    /// Slots of the domain's upstreams that may get new flows.
+    float slots = 0;
+    float in_flight = 0; ///< requests under way at the end of the interval
+    std::uint32_t answers = 0;
+    std::uint32_t rejections = 0; ///< requests that upstreams rejected
+    float service_ms = 0;         ///< mean of the answers
+    milliseconds target_latency{0};
+    milliseconds interval{0};
+};
+
+/// State of the concurrency limit of one service in one failure domain.
+struct adaptive_limit {
+    float limit = 0;       ///< concurrent requests; 0 while unknown
+    float baseline_ms = 0; ///< service time without queueing; 0 while unknown
+    float slots = 0;       ///< of the previous sample
+    time_point updated{};
+};
+
+/// Updates the limit with a sample and returns the limit. Not thread safe.
+auto update_limit(adaptive_limit &it, const limit_sample &sample,
+                  time_point now) -> float;
+
+} // namespace dogwoodtrack::carried
--- /dev/null
+++ b/src/libdogwoodtrack/carried/admission/allocation.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "carried/load/load_types.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// Room of a service and the demand for it. All quantities but `min_share` are
+/// concurrent requests.
+struct allocation_input {
+    float limit = 0; ///< of the service in this failure domain
+    /// Demand of requests on established flows, which cannot be refused.
+    float established = 0;
+    /// Demand of new flows by priority, admitted or not.
+    std::array<float, priority_count> demand{};
+    /// Part of `limit` that other failure domains take over.
+    float spilled = 0;
+    /// Part of the room that each priority gets at least, if it asks for it.
+    std::array<float, priority_count> min_share{};
+};
+
+/// Part of the new flows of each priority to admit, from 0 to 1: the room that
+/// established flows leave is filled in the order of priority. Thread safe.
+auto allocate_admission(const allocation_input &input)
+    -> std::array<float, priority_count>;
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -1,4 +1,4 @@
-#include "balancer_context.hpp"
+#include "carried/balancer_context.hpp"
 
 #include <array>
 #include <cerrno>
@@ -8,15 +8,15 @@
 
 #include <fmt/format.h>
 
+#include "carried/feeds/gossip.hpp"
+#include "carried/feeds/store_answers.hpp"
+#include "carried/feeds/store_watch.hpp"
+#include "carried/http_responder.hpp"
+#include "carried/members/rotation.hpp"
+#include "carried/report.hpp"
+#include "carried/upstreams/outlier_detection.hpp"
 #include "dogwoodtrack/event_log.hpp"
-#include "gossip.hpp"
-#include "http_responder.hpp"
-#include "outlier_detection.hpp"
-#include "report.hpp"
-#include "rotation.hpp"
 #include "sockets.hpp"
-#include "store_answers.hpp"
-#include "store_watch.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -4,9 +4,9 @@
 #include <functional>
 #include <span>
 
-#include "blackboard.hpp"
+#include "carried/blackboard.hpp"
+#include "carried/event_loop.hpp"
 #include "dogwoodtrack/error.hpp"
-#include "event_loop.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -3,9 +3,9 @@
 #include <array>
 #include <deque>
 
-#include "balancer.hpp"
+#include "carried/balancer.hpp"
+#include "carried/flows/hold_queue.hpp"
 #include "dogwoodtrack/metrics.hpp"
-#include "hold_queue.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -1,4 +1,4 @@
-#include "balancer_context.hpp"
+#include "carried/balancer_context.hpp"
 
 #include <cstring>
 #include <sys/socket.h>
--- a/src/libdogwoodtrack/carried/balancer_test.cpp
+++ b/src/libdogwoodtrack/carried/balancer_test.cpp
@@ -8,9 +8,9 @@
 
 #include <doctest/doctest.h>
 
-#include "balancer.hpp"
+#include "carried/balancer.hpp"
+#include "carried/test_support.hpp"
 #include "sockets.hpp"
-#include "test_support.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -1,4 +1,4 @@
-#include "blackboard.hpp"
+#include "carried/blackboard.hpp"
 
 #include <array>
 
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -2,11 +2,11 @@
 
 #include <array>
 
-#include "fleet.hpp"
-#include "probes.hpp"
-#include "reassembly.hpp"
-#include "steering.hpp"
-#include "store.hpp"
+#include "carried/feeds/reassembly.hpp"
+#include "carried/feeds/store.hpp"
+#include "carried/flows/steering.hpp"
+#include "carried/members/fleet.hpp"
+#include "carried/members/probes.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/event_loop.cpp
+++ b/src/libdogwoodtrack/carried/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "event_loop.hpp"
+#include "carried/event_loop.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/configuration.cpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.cpp
@@ -1,4 +1,4 @@
-#include "configuration.hpp"
+#include "carried/feeds/configuration.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -1,9 +1,9 @@
-#include "gossip.hpp"
+#include "carried/feeds/gossip.hpp"
 
 #include <algorithm>
 
-#include "outlier_detection.hpp"
-#include "rotation.hpp"
+#include "carried/members/rotation.hpp"
+#include "carried/upstreams/outlier_detection.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -13,7 +13,7 @@
 #include <protozero/pbf_builder.hpp>
 #include <protozero/pbf_message.hpp>
 
-#include "peer_messages.hpp"
+#include "carried/feeds/peer_messages.hpp"
 
 namespace dogwoodtrack::carried::fields {
 
--- a/src/libdogwoodtrack/carried/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -1,4 +1,4 @@
-#include "peer_fields.hpp"
+#include "carried/feeds/peer_fields.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -6,10 +6,10 @@
 #include <variant>
 #include <vector>
 
-#include "fleet.hpp"
-#include "outlier_ejection.hpp"
-#include "probes.hpp"
-#include "upstreams.hpp"
+#include "carried/members/fleet.hpp"
+#include "carried/members/probes.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
+#include "carried/upstreams/upstreams.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/reassembly.cpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.cpp
@@ -1,4 +1,4 @@
-#include "reassembly.hpp"
+#include "carried/feeds/reassembly.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/libdogwoodtrack/carried/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "peer_messages.hpp"
+#include "carried/feeds/peer_messages.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store.hpp
@@ -4,8 +4,8 @@
 #include <optional>
 #include <vector>
 
-#include "fleet.hpp"
-#include "upstreams.hpp"
+#include "carried/members/fleet.hpp"
+#include "carried/upstreams/upstreams.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_answers.cpp
@@ -1,8 +1,8 @@
-#include "store_answers.hpp"
+#include "carried/feeds/store_answers.hpp"
 
 #include <algorithm>
 
-#include "gossip.hpp"
+#include "carried/feeds/gossip.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -1,4 +1,4 @@
-#include "store_watch.hpp"
+#include "carried/feeds/store_watch.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/store_watch.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "blackboard.hpp"
+#include "carried/blackboard.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
@@ -1,9 +1,9 @@
 #include <doctest/doctest.h>
 
-#include "gossip.hpp"
-#include "store_answers.hpp"
-#include "store_watch.hpp"
-#include "test_support.hpp"
+#include "carried/feeds/gossip.hpp"
+#include "carried/feeds/store_answers.hpp"
+#include "carried/feeds/store_watch.hpp"
+#include "carried/test_support.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows/flows.cpp
@@ -1,4 +1,4 @@
-#include "flows.hpp"
+#include "carried/flows/flows.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows/flows.hpp
@@ -5,7 +5,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "outlier_ejection.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/hold_queue.cpp
+++ b/src/libdogwoodtrack/carried/flows/hold_queue.cpp
@@ -1,4 +1,4 @@
-#include "hold_queue.hpp"
+#include "carried/flows/hold_queue.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/libdogwoodtrack/carried/hold_queue.hpp
+++ b/src/libdogwoodtrack/carried/flows/hold_queue.hpp
@@ -3,7 +3,7 @@
 #include <functional>
 #include <vector>
 
-#include "flows.hpp"
+#include "carried/flows/flows.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/hold_queue_test.cpp
+++ b/src/libdogwoodtrack/carried/flows/hold_queue_test.cpp
@@ -1,7 +1,7 @@
 #include <doctest/doctest.h>
 
-#include "hold_queue.hpp"
-#include "test_support.hpp"
+#include "carried/flows/hold_queue.hpp"
+#include "carried/test_support.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -1,9 +1,9 @@
-#include "steering.hpp"
+#include "carried/flows/steering.hpp"
 
 #include <algorithm>
 #include <array>
 
-#include "dead_upstreams.hpp"
+#include "carried/upstreams/dead_upstreams.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -2,8 +2,8 @@
 
 #include <memory>
 
-#include "flows.hpp"
-#include "upstream_selection.hpp"
+#include "carried/flows/flows.hpp"
+#include "carried/upstreams/upstream_selection.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering_test.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "test_support.hpp"
+#include "carried/test_support.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/http_responder.cpp
+++ b/src/libdogwoodtrack/carried/http_responder.cpp
@@ -1,4 +1,4 @@
-#include "http_responder.hpp"
+#include "carried/http_responder.hpp"
 
 #include <array>
 #include <cerrno>
--- a/src/libdogwoodtrack/carried/http_responder.hpp
+++ b/src/libdogwoodtrack/carried/http_responder.hpp
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "carried/event_loop.hpp"
 #include "dogwoodtrack/error.hpp"
-#include "event_loop.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -1,4 +1,4 @@
-#include "fleet.hpp"
+#include "carried/members/fleet.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/probes.cpp
+++ b/src/libdogwoodtrack/carried/members/probes.cpp
@@ -1,4 +1,4 @@
-#include "probes.hpp"
+#include "carried/members/probes.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/probes.hpp
+++ b/src/libdogwoodtrack/carried/members/probes.hpp
@@ -4,7 +4,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "fleet.hpp"
+#include "carried/members/fleet.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/rotation.cpp
+++ b/src/libdogwoodtrack/carried/members/rotation.cpp
@@ -1,4 +1,4 @@
-#include "rotation.hpp"
+#include "carried/members/rotation.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/rotation_test.cpp
+++ b/src/libdogwoodtrack/carried/members/rotation_test.cpp
@@ -2,9 +2,9 @@
 
 #include <doctest/doctest.h>
 
-#include "gossip.hpp"
-#include "rotation.hpp"
-#include "test_support.hpp"
+#include "carried/feeds/gossip.hpp"
+#include "carried/members/rotation.hpp"
+#include "carried/test_support.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -1,12 +1,12 @@
-#include "report.hpp"
+#include "carried/report.hpp"
 
 #include <array>
 #include <iterator>
 
 #include <fmt/format.h>
 
-#include "outlier_ejection.hpp"
-#include "rotation.hpp"
+#include "carried/members/rotation.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/report.hpp
+++ b/src/libdogwoodtrack/carried/report.hpp
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "blackboard.hpp"
+#include "carried/blackboard.hpp"
 #include "dogwoodtrack/metrics.hpp"
 
 namespace dogwoodtrack::carried {
--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -2,9 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "outlier_ejection.hpp"
-#include "report.hpp"
-#include "test_support.hpp"
+#include "carried/report.hpp"
+#include "carried/test_support.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/dead_upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/dead_upstreams.cpp
@@ -1,4 +1,4 @@
-#include "dead_upstreams.hpp"
+#include "carried/upstreams/dead_upstreams.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/dead_upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/dead_upstreams.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "flows.hpp"
+#include "carried/flows/flows.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/dead_upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/dead_upstreams_test.cpp
@@ -2,8 +2,8 @@
 
 #include <doctest/doctest.h>
 
-#include "dead_upstreams.hpp"
-#include "test_support.hpp"
+#include "carried/test_support.hpp"
+#include "carried/upstreams/dead_upstreams.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/outlier_detection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/outlier_detection.cpp
@@ -1,9 +1,9 @@
-#include "outlier_detection.hpp"
+#include "carried/upstreams/outlier_detection.hpp"
 
 #include <algorithm>
 #include <map>
 
-#include "outlier_ejection.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/outlier_detection_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/outlier_detection_test.cpp
@@ -2,10 +2,10 @@
 
 #include <memory>
 
-#include "gossip.hpp"
-#include "outlier_detection.hpp"
-#include "outlier_ejection.hpp"
-#include "test_support.hpp"
+#include "carried/feeds/gossip.hpp"
+#include "carried/test_support.hpp"
+#include "carried/upstreams/outlier_detection.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 using namespace dogwoodtrack;
 using namespace dogwoodtrack::carried;
--- a/src/libdogwoodtrack/carried/outlier_ejection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/outlier_ejection.cpp
@@ -1,4 +1,4 @@
-#include "outlier_ejection.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -1,6 +1,6 @@
-#include "upstream_selection.hpp"
+#include "carried/upstreams/upstream_selection.hpp"
 
-#include "outlier_ejection.hpp"
+#include "carried/upstreams/outlier_ejection.hpp"
 
 #include <algorithm>
 
--- a/src/libdogwoodtrack/carried/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "upstreams.hpp"
+#include "carried/upstreams/upstreams.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libdogwoodtrack/carried/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -1,4 +1,4 @@
-#include "upstreams.hpp"
+#include "carried/upstreams/upstreams.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/libdogwoodtrack/carried/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -6,7 +6,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
-#include "configuration.hpp"
+#include "carried/feeds/configuration.hpp"
 
 namespace dogwoodtrack::carried {
 
--- a/src/libstandin/fleet_simulation.hpp
+++ b/src/libstandin/fleet_simulation.hpp
@@ -8,11 +8,11 @@
 #include <queue>
 #include <random>
 
-#include "carried/gossip.hpp"
-#include "carried/outlier_detection.hpp"
-#include "carried/rotation.hpp"
-#include "carried/steering.hpp"
-#include "carried/store_watch.hpp"
+#include "carried/feeds/gossip.hpp"
+#include "carried/feeds/store_watch.hpp"
+#include "carried/flows/steering.hpp"
+#include "carried/members/rotation.hpp"
+#include "carried/upstreams/outlier_detection.hpp"
 #include "fleet_model.hpp"
 
 namespace dogwoodtrack::model {
--- a/src/libstandin/fleet_simulation_store.cpp
+++ b/src/libstandin/fleet_simulation_store.cpp
@@ -1,4 +1,4 @@
-#include "carried/store_answers.hpp"
+#include "carried/feeds/store_answers.hpp"
 #include "fleet_simulation.hpp"
 
 #include <algorithm>
