feeds: evacuation of a failure domain, a third feed

An operator needs to stop new flows to the upstreams of a failure domain while open flows continue. Entries of kind `evacuations` are a third feed with the watchers, digests and pulls of the configuration and a time bound of its own (blackboard::evacuate_within; 0: off). Its version is the range of store revisions in which the set was the store's, so that a removal which a list no longer shows cannot be undone by an older set, and equal sets that were listed at different times are not pulled. Upstreams of evacuated domains are withheld from upstream_table::placeable; if none is left for a service, openings are rejected with the reason `evacuated`.

The first list of the feed is never a stale one, and watches are not delayed for batching. With the feature off, digests keep their size and no call is made.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -8,6 +8,8 @@
 
 #include <fmt/format.h>
 
+#include "carried/evacuation_log.hpp"
+#include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
 #include "carried/feeds/store_answers.hpp"
 #include "carried/feeds/store_watch.hpp"
@@ -109,8 +111,12 @@
         }
         const auto sender = ntohl(from.sin_addr.s_addr);
         const auto before = it.state.versions;
-        on_peer_message(it.state, sender, *message, monotonic::now(), out);
+        const auto evacuations_before = it.state.evacuations.changes;
+        const auto now = monotonic::now();
+        on_peer_message(it.state, sender, *message, now, out);
         log_version_changes(it, before, message_name(*message), sender);
+        log_evacuation_change(it.state, evacuations_before,
+                              message_name(*message), sender, now);
     }
     send_messages(it, out);
 }
@@ -156,11 +162,14 @@
     for (const auto &answer : it.store.take_answers(now)) {
         const auto was_unreachable = it.state.store_unreachable;
         const auto before = it.state.versions;
+        const auto evacuations_before = it.state.evacuations.changes;
         on_store_answer(it.state, answer, now, out);
         schedule_next_call(it.state, answer, now);
         log_store_answer(it, answer, was_unreachable);
         report_rejected_entries(it, answer);
         log_version_changes(it, before, to_string(answer.outcome), 0);
+        log_evacuation_change(it.state, evacuations_before,
+                              to_string(answer.outcome), 0, now);
     }
     send_messages(it, out);
 }
@@ -228,6 +237,7 @@
     sweep_flows(steering.flows, steering.upstreams, sweep_batch, now);
     reset_flows_at_dead_upstreams(it, now);
     send_outcomes(it, now);
+    log_unknown_evacuations(it.state, now);
 }
 
 auto log_rotation_change(const balancer_context &it, time_point now) -> void {
@@ -281,6 +291,7 @@
     constexpr double millicores_per_core = 1'000;
     constexpr double max_capacity = 60'000;
     it.apply_within = options.apply_within;
+    set_evacuate_within(it, options.evacuate_within);
     it.steering.flows.limit = options.flow_capacity;
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
@@ -309,6 +320,7 @@
 // the event `settings_reloaded` says that a restart is needed.
 auto apply_options(balancer_context &it, const balancer_options &next) -> void {
     it.options.apply_within = next.apply_within;
+    it.options.evacuate_within = next.evacuate_within;
     it.options.stop_deadline = next.stop_deadline;
     it.options.flow_lifetime = next.flow_lifetime;
     it.options.flow_capacity = next.flow_capacity;
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -59,6 +59,9 @@
     /// valid. Called about once per second. An empty function means that
     /// settings are never reloaded.
     std::function<std::optional<balancer_options>()> reload;
+    /// Time within which the evacuation of a failure domain, accepted by the
+    /// store, must take effect. If 0, evacuations are not read.
+    milliseconds evacuate_within{0};
 };
 
 /// Runs a balancer on the calling thread. After `stop` is set, the function
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <utility>
 
+#include "carried/evacuation_log.hpp"
 #include "dogwoodtrack/event_log.hpp"
 #include "sockets.hpp"
 
@@ -44,6 +45,8 @@
 auto record_refusal(balancer_context &it, const packet_header &header,
                     const verdict &decision) -> void {
     ++it.state.counters.refused[static_cast<std::size_t>(decision.why)];
+    if (decision.why == refusal::evacuated)
+        log_evacuation_refusal(it.state, header.endpoints.service);
     if (!is_logged(severity::debug))
         return;
     log_event(severity::debug, "packet_refused",
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -18,9 +18,22 @@
     return board.versions[static_cast<std::size_t>(what)];
 }
 
+auto is_enabled(const blackboard &board, feed what) -> bool {
+    return what != feed::evacuations || board.evacuate_within > milliseconds{0};
+}
+
+auto time_bound(const blackboard &board, feed what) -> milliseconds {
+    return what == feed::evacuations ? board.evacuate_within
+                                     : board.apply_within;
+}
+
 auto can_serve(const blackboard &board) -> bool {
-    return version_of(board, feed::configuration).complete &&
-           version_of(board, feed::upstreams).complete;
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        if (is_enabled(board, static_cast<feed>(i)) &&
+            !board.versions[i].complete)
+            return false;
+    }
+    return true;
 }
 
 auto refresh_steering(blackboard &board, time_point now) -> void {
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -83,6 +83,7 @@
     boost::unordered_flat_map<std::uint32_t, time_point> bootstrapped_peers;
     partial_configuration incoming_configuration;
     partial_records incoming_records;
+    partial_evacuations incoming_evacuations;
     time_point started{};
     /// Time of the first answer after the store's last outage.
     time_point store_recovered{};
@@ -94,13 +95,25 @@
     milliseconds apply_within{3'000};
     bool leaving = false; ///< a planned stop has begun
     blackboard_counters counters;
+    /// Time within which an evacuation accepted by the store has to take effect
+    /// on every balancer; 0 if the feed is not used. Changed by
+    /// `set_evacuate_within`.
+    milliseconds evacuate_within{0};
+    evacuation_state evacuations;
 };
 
 auto version_of(blackboard &board, feed what) -> feed_version &;
 auto version_of(const blackboard &board, feed what) -> const feed_version &;
 
-/// Whether new flows can be served: both feeds were read at least once, from
-/// the store or from a peer.
+/// Whether a feed is read from the store and exchanged with peers. Only the
+/// evacuations can be disabled.
+auto is_enabled(const blackboard &board, feed what) -> bool;
+
+/// Time within which a change of a feed has to be in force on every balancer.
+auto time_bound(const blackboard &board, feed what) -> milliseconds;
+
+/// Whether new flows can be served: all enabled feeds were read at least once,
+/// from the store or from a peer.
 auto can_serve(const blackboard &board) -> bool;
 
 /// Updates the part of `steering` that is derived from the rest of the
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "carried/feeds/evacuations.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
 
@@ -46,6 +47,8 @@
 
 auto make_reported_version(const blackboard &board, feed what, time_point now)
     -> reported_version {
+    if (!is_enabled(board, what))
+        return {};
     const auto &it = version_of(board, what);
     return {.content = it.content,
             .as_of = it.as_of,
@@ -118,15 +121,26 @@
     add_messages(to, split_routes(*board.steering.in_force, version), out);
 }
 
+auto send_evacuations(const blackboard &board, std::uint32_t to, time_point now,
+                      std::vector<outgoing_message> &out) -> void {
+    const auto version = make_reported_version(board, feed::evacuations, now);
+    add_messages(to, split_evacuations(board.evacuations.domains, version),
+                 out);
+}
+
 auto send_state(const blackboard &board, std::uint32_t to, feed what,
                 std::uint64_t since, time_point now,
                 std::vector<outgoing_message> &out) -> void {
     if (!version_of(board, what).complete)
         return;
-    if (what == feed::configuration)
-        send_routes(board, to, now, out);
-    else
-        send_records(board, to, since, now, out);
+    switch (what) {
+    case feed::configuration:
+        return send_routes(board, to, now, out);
+    case feed::evacuations:
+        return send_evacuations(board, to, now, out);
+    default:
+        return send_records(board, to, since, now, out);
+    }
 }
 
 auto select_push_peers(blackboard &board, std::uint32_t except, time_point now)
@@ -182,12 +196,28 @@
                        .what = what, .since = version_of(board, what).as_of}});
 }
 
+// Requests the set of evacuated failure domains if that of the peer is newer,
+// and adopts the store's confirmation if both have the same set.
+auto compare_evacuations(blackboard &board, std::uint32_t from,
+                         const reported_version &reported, time_point now,
+                         std::vector<outgoing_message> &out) -> void {
+    const auto &own_version = version_of(board, feed::evacuations);
+    if (!is_enabled(board, feed::evacuations))
+        return;
+    if (is_newer_set(own_version, reported))
+        return pull(board, from, feed::evacuations, now, out);
+    if (is_same_set(own_version, reported))
+        adopt_confirmation(board, feed::evacuations, reported, now);
+}
+
 // Compares the version of a feed that a peer reports with the own one. Requests
 // the feed if it is not complete here or the peer's content is newer, and
 // adopts the store's confirmation if both have the same content.
 auto compare_version(blackboard &board, std::uint32_t from, feed what,
                      const reported_version &reported, time_point now,
                      std::vector<outgoing_message> &out) -> void {
+    if (what == feed::evacuations)
+        return compare_evacuations(board, from, reported, now, out);
     auto &own_version = version_of(board, what);
     // The feed was empty at store revision `reported.as_of`: the peer read this
     // from the store itself or learned it from another balancer.
@@ -333,6 +363,32 @@
         advertise(board, from, now, out);
 }
 
+// ---- evacuations
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const evacuations_message &message, time_point now,
+                    std::vector<outgoing_message> &out) -> void {
+    const auto &own_version = version_of(board, feed::evacuations);
+    if (!is_enabled(board, feed::evacuations) ||
+        !is_newer_set(own_version, message.version))
+        return;
+    auto &last_pulled =
+        board.last_pulled[static_cast<std::size_t>(feed::evacuations)];
+    last_pulled = now;
+    auto whole =
+        add_evacuations_part(board.incoming_evacuations, from, message);
+    const auto initial = !own_version.complete;
+    if (!whole || !adopt_evacuations(board, std::move(*whole), message.version))
+        return;
+    // A range that ends before it begins would be newer than itself.
+    auto version = message.version;
+    version.as_of = std::max(version.as_of, version.content);
+    adopt_version(board, feed::evacuations, version, now);
+    last_pulled = {};
+    if (!initial)
+        advertise(board, from, now, out);
+}
+
 auto handle_message(blackboard &board, std::uint32_t /*from*/,
                     const outcomes_message &message, time_point now,
                     std::vector<outgoing_message> & /*out*/) -> void {
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -25,7 +25,8 @@
     routes = 4,
     outcomes = 5,
     judgements = 6,
-    probe = 7
+    probe = 7,
+    evacuations = 8
 };
 enum class member_field : protozero::pbf_tag_type {
     address = 1,
@@ -98,6 +99,13 @@
     left_ms = 2,
     ejections = 3
 };
+enum class evacuations_field : protozero::pbf_tag_type {
+    version = 1,
+    part = 2,
+    parts = 3,
+    domain = 4
+};
+enum class evacuated_field : protozero::pbf_tag_type { domain = 1, name = 2 };
 enum class weight_field : protozero::pbf_tag_type { service = 1, weight = 2 };
 
 template <typename Field>
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -65,8 +65,12 @@
     -> void {
     builder<digest_field> out(envelope, envelope_field::digest);
     write({out, digest_field::sender}, it.sender, milliseconds{0});
-    for (const auto &version : it.versions)
-        write({out, digest_field::version}, version);
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        // The last of the versions is left out if there is nothing to report.
+        if (static_cast<feed>(i) != feed::evacuations ||
+            it.versions[i].complete)
+            write({out, digest_field::version}, it.versions[i]);
+    }
     for (const auto &reported : it.members)
         write({out, digest_field::member}, reported.member, reported.age);
     if (it.wants_state)
@@ -137,6 +141,19 @@
         out.add_fixed32(probe_field::unheard_domain, domain);
 }
 
+auto write_body(builder<envelope_field> &envelope,
+                const evacuations_message &it) -> void {
+    builder<evacuations_field> out(envelope, envelope_field::evacuations);
+    write({out, evacuations_field::version}, it.version);
+    out.add_uint32(evacuations_field::part, it.part);
+    out.add_uint32(evacuations_field::parts, it.parts);
+    for (const auto &one : it.domains) {
+        builder<evacuated_field> to(out, evacuations_field::domain);
+        to.add_fixed32(evacuated_field::domain, one.domain);
+        to.add_string(evacuated_field::name, one.name);
+    }
+}
+
 // Distributes the items over copies of the message `empty`, so that each stays
 // within the datagram limit. `items_of` returns the list of a message to which
 // its items are added; `size_of` estimates the encoded size of an item in
@@ -170,7 +187,7 @@
     static constexpr std::array<std::string_view,
                                 std::variant_size_v<peer_message>>
         names{"digest",   "pull",       "records", "routes",
-              "outcomes", "judgements", "probe"};
+              "outcomes", "judgements", "probe",   "evacuations"};
     return names[message.index()];
 }
 
@@ -209,4 +226,17 @@
         });
 }
 
+auto split_evacuations(const std::vector<evacuated_domain> &domains,
+                       const reported_version &version)
+    -> std::vector<evacuations_message> {
+    constexpr std::size_t fixed_fields_size = 12;
+    return split<evacuations_message, evacuated_domain>(
+        domains, {.version = version, .domains = {}},
+        [](evacuations_message & it) -> auto & { return it.domains; },
+        [](const evacuated_domain &it) {
+            return std::min(max_record_size,
+                            fixed_fields_size + it.name.size());
+        });
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "carried/feeds/evacuation_types.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/members/probes.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
@@ -88,9 +89,18 @@
     std::vector<reported_ejection> items;
 };
 
+/// One part of the set of evacuated failure domains.
+struct evacuations_message {
+    reported_version version;
+    std::uint32_t part = 0;  ///< index of this part
+    std::uint32_t parts = 1; ///< number of parts
+    std::vector<evacuated_domain> domains;
+};
+
 using peer_message =
     std::variant<digest_message, pull_message, records_message, routes_message,
-                 outcomes_message, judgements_message, probe_message>;
+                 outcomes_message, judgements_message, probe_message,
+                 evacuations_message>;
 
 /// Name of the kind of a message in logs, for example `digest`. Thread safe.
 auto message_name(const peer_message &message) -> std::string_view;
@@ -132,4 +142,10 @@
 auto split_routes(const configuration &whole, const reported_version &version)
     -> std::vector<routes_message>;
 
+/// Splits a set of evacuated failure domains into as many messages as the
+/// datagram limit requires, at least one. Thread safe.
+auto split_evacuations(const std::vector<evacuated_domain> &domains,
+                       const reported_version &version)
+    -> std::vector<evacuations_message>;
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -205,13 +205,16 @@
     return it;
 }
 
+auto read_feed(std::uint32_t value) -> feed {
+    return value < feed_count ? static_cast<feed>(value) : feed::upstreams;
+}
+
 auto read_pull(reader<pull_field> in) -> pull_message {
     pull_message it;
     while (in.next()) {
         switch (in.tag()) {
         case pull_field::what:
-            it.what =
-                in.get_uint32() == 0 ? feed::configuration : feed::upstreams;
+            it.what = read_feed(in.get_uint32());
             break;
         case pull_field::since:
             it.since = in.get_uint64();
@@ -346,6 +349,46 @@
     return it;
 }
 
+auto read_evacuated(reader<evacuated_field> in) -> evacuated_domain {
+    evacuated_domain it;
+    while (in.next()) {
+        switch (in.tag()) {
+        case evacuated_field::domain:
+            it.domain = in.get_fixed32();
+            break;
+        case evacuated_field::name:
+            it.name = in.get_string();
+            break;
+        default:
+            in.skip();
+        }
+    }
+    return it;
+}
+
+auto read_evacuations(reader<evacuations_field> in) -> evacuations_message {
+    evacuations_message it;
+    while (in.next()) {
+        switch (in.tag()) {
+        case evacuations_field::version:
+            it.version = read_version(in.get_message());
+            break;
+        case evacuations_field::part:
+            it.part = in.get_uint32();
+            break;
+        case evacuations_field::parts:
+            it.parts = in.get_uint32();
+            break;
+        case evacuations_field::domain:
+            it.domains.push_back(read_evacuated(in.get_message()));
+            break;
+        default:
+            in.skip();
+        }
+    }
+    return it;
+}
+
 template <typename Message, typename Field, typename Item>
 auto read_list(reader<list_field> in, Item (*read_item)(reader<Field>))
     -> Message {
@@ -386,6 +429,8 @@
         return read_list<judgements_message>(in.get_message(), read_judgement);
     case envelope_field::probe:
         return read_probe(in.get_message());
+    case envelope_field::evacuations:
+        return validate_parts(read_evacuations(in.get_message()));
     default:
         return std::nullopt;
     }
--- a/src/libdogwoodtrack/carried/feeds/reassembly.cpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.cpp
@@ -58,4 +58,26 @@
     return complete;
 }
 
+auto add_evacuations_part(partial_evacuations &partial, std::uint32_t sender,
+                          const evacuations_message &message)
+    -> std::optional<std::vector<evacuated_domain>> {
+    if (partial.sender != sender ||
+        partial.content != message.version.content ||
+        partial.arrived.size() != message.parts)
+        partial = {.sender = sender,
+                   .content = message.version.content,
+                   .arrived = std::vector<bool>(message.parts),
+                   .missing = message.parts,
+                   .domains = {}};
+    if (!partial.arrived[message.part]) {
+        partial.arrived[message.part] = true;
+        --partial.missing;
+        partial.domains.insert(partial.domains.end(), message.domains.begin(),
+                               message.domains.end());
+    }
+    if (partial.missing > 0)
+        return std::nullopt;
+    return std::exchange(partial, {}).domains;
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -28,6 +28,15 @@
     std::vector<std::string> ids;
 };
 
+/// A set of evacuated failure domains that is being received in parts.
+struct partial_evacuations {
+    std::uint32_t sender = 0;  ///< address of the balancer that sends the set
+    std::uint64_t content = 0; ///< version of the set
+    std::vector<bool> arrived; ///< which parts were received
+    std::size_t missing = 0;   ///< parts not yet received
+    std::vector<evacuated_domain> domains;
+};
+
 /// Marks one part of a set of records as received; returns the sorted
 /// identifiers of the upstreams in the set once it is complete. When a part of
 /// another set arrives, the parts received before are discarded, unless that
@@ -43,4 +52,11 @@
                      const routes_message &message)
     -> std::shared_ptr<configuration>;
 
+/// Adds one part of a set of evacuated failure domains; returns the set once
+/// all parts were received. When a part of another set arrives, the parts
+/// received before are discarded.
+auto add_evacuations_part(partial_evacuations &partial, std::uint32_t sender,
+                          const evacuations_message &message)
+    -> std::optional<std::vector<evacuated_domain>>;
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "carried/feeds/evacuation_types.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/upstreams/upstreams.hpp"
 
@@ -43,6 +44,8 @@
     std::shared_ptr<configuration> latest_configuration;
     std::vector<rejected_entry> rejected;
     std::string detail; ///< reason for a refusal or failure
+    /// In the order in which the store reported them.
+    std::vector<evacuation_entry> evacuations;
 };
 
 /// One call to the store.
--- a/src/libdogwoodtrack/carried/feeds/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_answers.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
 
 namespace dogwoodtrack::carried {
@@ -12,8 +13,8 @@
 /// within this time after it, the state of the upstream becomes `lapsed`, not
 /// `gone`, as the entry may reappear.
 constexpr milliseconds lapse_window{2'500};
-/// Part of `apply_within`, in percent: if a feed was unconfirmed for longer,
-/// the store is taken to have been unreachable.
+/// Part of the feed's time bound, in percent: if a feed was unconfirmed for
+/// longer, the store is taken to have been unreachable.
 constexpr int unreachable_percent = 50;
 
 // Whether an upstream's entry that is removed now may reappear soon, because
@@ -91,12 +92,12 @@
 // Whether the store was unreachable before the answer that arrives now: this
 // balancer's last call was refused or failed, or the feed was unconfirmed for
 // longer than a watch takes, so that no balancer can have got an answer.
-auto was_store_unreachable(const blackboard &board,
-                           const feed_version &own_version, time_point now)
+auto was_store_unreachable(const blackboard &board, feed what, time_point now)
     -> bool {
-    const auto unconfirmed = own_version.confirmed != time_point{} &&
-                             now - own_version.confirmed >=
-                                 board.apply_within * unreachable_percent / 100;
+    const auto &confirmed = version_of(board, what).confirmed;
+    const auto unconfirmed =
+        confirmed != time_point{} &&
+        now - confirmed >= time_bound(board, what) * unreachable_percent / 100;
     return board.store_unreachable || unconfirmed;
 }
 
@@ -106,7 +107,7 @@
 auto record_store_answer(blackboard &board, feed what, time_point now) -> void {
     constexpr milliseconds confirmation_margin{50};
     auto &call = board.calls[static_cast<std::size_t>(what)];
-    if (was_store_unreachable(board, version_of(board, what), now))
+    if (was_store_unreachable(board, what, now))
         board.store_recovered = now;
     board.store_unreachable = false;
     if (call.last_peer_confirmation > call.last_success + confirmation_margin)
@@ -115,11 +116,14 @@
     call.last_success = now;
 }
 
-// Whether the answer is a list that is older than the complete state known by
-// now. It may show upstreams that were removed before that state, of which
-// there is no record.
+// Whether the answer is older than the complete state known by now and must be
+// ignored. An older list may show upstreams that were removed before that
+// state, of which there is no record. Upstreams and configurations have
+// revisions of their own, so an older answer to a watch does no harm.
 auto is_outdated(const feed_version &own_version, const store_answer &answer)
     -> bool {
+    if (answer.what == feed::evacuations)
+        return !shows_known_evacuations(own_version, answer);
     return answer.may_be_stale && own_version.complete &&
            answer.as_of < own_version.as_of;
 }
@@ -138,6 +142,8 @@
     auto changed = false;
     if (answer.what == feed::upstreams) {
         changed = apply_records(board, answer, now);
+    } else if (answer.what == feed::evacuations) {
+        changed = apply_evacuations(board, answer);
     } else if (answer.latest_configuration) {
         changed = activate_configuration(board, answer.latest_configuration);
         own_version.content = std::max(own_version.content,
@@ -147,7 +153,7 @@
     if (!answer.may_be_stale)
         own_version.confirmed = now;
     own_version.complete =
-        answer.what == feed::upstreams || board.steering.in_force != nullptr;
+        answer.what != feed::configuration || board.steering.in_force;
     if (answer.may_be_stale)
         return;
     if (changed && !initial && answer.what == feed::upstreams)
@@ -163,6 +169,9 @@
     -> void {
     auto &call = board.calls[static_cast<std::size_t>(answer.what)];
     call.in_flight = false;
+    // The feed may have been disabled since the call.
+    if (!is_enabled(board, answer.what))
+        return;
     switch (answer.outcome) {
     case store_outcome::listed:
     case store_outcome::changed:
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -6,29 +6,30 @@
 
 namespace {
 
-// The constants in percent are parts of `apply_within`, the time in which a
-// change has to be in force on every balancer. The preferred watchers are the
-// first `store_watcher_count` balancers by `watch_rank`.
+// The constants in percent are parts of the feed's time bound (`time_bound`),
+// the time in which a change has to be in force on every balancer. The
+// preferred watchers are the first `store_watcher_count` balancers by
+// `watch_rank`.
 
-/// If a feed is unconfirmed for this part of `apply_within`, the next balancer
+/// If a feed is unconfirmed for this part of the time bound, the next balancer
 /// by rank after the preferred watchers takes over watching it.
 constexpr int takeover_percent = 50;
-/// Each further place in the ranking adds this part of `apply_within` to the
+/// Each further place in the ranking adds this part of the time bound to the
 /// time that a balancer waits before it takes over.
 constexpr int takeover_step_percent = 5;
 /// Maximum number of times that `takeover_step_percent` is added to
 /// `takeover_percent`. Balancers still further down the ranking wait for the
-/// resulting time and an additional delay of up to `apply_within`, derived from
+/// resulting time and an additional delay of up to the time bound, derived from
 /// a hash of the address, so that not all balancers of a large system call an
 /// unreachable store at the same time.
 constexpr std::size_t max_takeover_steps = 6;
 /// After an answer with changes, the next watch starts only after this part of
 /// `apply_within`, so that further changes are batched.
 constexpr int batching_percent = 15;
-/// A watch call waits at most this part of `apply_within` for the store to
+/// A watch call waits at most this part of the time bound for the store to
 /// report a change.
 constexpr int watch_wait_percent = 30;
-/// For this part of `apply_within` after its start, a balancer knows too few
+/// For this part of the time bound after its start, a balancer knows too few
 /// peers to determine its rank.
 constexpr int rank_unknown_percent = 30;
 /// Replaces `rank_unknown_percent` at the first start of the system, when all
@@ -73,7 +74,8 @@
                                  jitter_hash % first_start_jitter_ms)};
 }
 
-auto takeover_delay(const blackboard &board, std::size_t rank) -> milliseconds {
+auto takeover_delay(const blackboard &board, feed what, std::size_t rank)
+    -> milliseconds {
     const auto steps =
         std::min<std::size_t>(rank - store_watcher_count, max_takeover_steps);
     auto percent =
@@ -81,13 +83,13 @@
     if (rank - store_watcher_count > max_takeover_steps)
         percent +=
             static_cast<int>(hash_pair(board.members.self.address, 3) % 100);
-    return board.apply_within * percent / 100;
+    return time_bound(board, what) * percent / 100;
 }
 
-auto rank_unknown_time(const blackboard &board) -> milliseconds {
+auto rank_unknown_time(const blackboard &board, feed what) -> milliseconds {
     const auto part = board.first_start ? rank_unknown_first_start_percent
                                         : rank_unknown_percent;
-    return board.apply_within * part / 100;
+    return time_bound(board, what) * part / 100;
 }
 
 // Decides whether to call the store for a feed now, and updates
@@ -97,7 +99,7 @@
     auto &call = call_state_of(board, what);
     if (own_version.as_of == 0)
         return now - board.started >= start_delay(board);
-    if (now - board.started < rank_unknown_time(board))
+    if (now - board.started < rank_unknown_time(board, what))
         return call.needs_list || (board.first_start && is_seed(board));
     const auto rank = watch_rank(board.members, now);
     if (rank < store_watcher_count) {
@@ -109,14 +111,15 @@
     if (call.taken_over && call.failures == 0)
         return true;
     const auto confirmed = std::max(own_version.confirmed, board.started);
-    call.taken_over = now - confirmed >= takeover_delay(board, rank);
+    call.taken_over = now - confirmed >= takeover_delay(board, what, rank);
     return call.taken_over;
 }
 
 // Time between two calls of a balancer that takes turns with the others, see
 // `retry_delay`.
-auto turn_interval(const blackboard &board, time_point now) -> milliseconds {
-    const auto step = board.apply_within * takeover_step_percent / 100;
+auto turn_interval(const blackboard &board, feed what, time_point now)
+    -> milliseconds {
+    const auto step = time_bound(board, what) * takeover_step_percent / 100;
     const auto turns =
         static_cast<std::int64_t>(count_live_members(board.members, now)) + 1;
     return std::min(step * turns, max_turn_interval);
@@ -125,16 +128,16 @@
 // Time after a refused or failed call until the next one. The preferred
 // watchers, and balancers that cannot serve yet, retry soon. The others take
 // turns: together they call the store about once per `takeover_step_percent` of
-// `apply_within`, or more often in a fleet so large that `max_turn_interval`
+// the time bound, or more often in a fleet so large that `max_turn_interval`
 // limits the time between the calls of each.
-auto retry_delay(blackboard &board, const store_call_state &call,
-                 time_point now) -> milliseconds {
+auto retry_delay(blackboard &board, feed what, time_point now) -> milliseconds {
+    const auto &call = call_state_of(board, what);
     const auto doublings = std::min(call.failures - 1, max_retry_doublings);
     auto delay = std::min(retry_base_delay * (1 << doublings), max_retry_delay);
     if (!can_serve(board))
         delay = std::min(delay, max_retry_delay_without_state);
     else if (watch_rank(board.members, now) >= store_watcher_count)
-        delay = std::max(delay, turn_interval(board, now));
+        delay = std::max(delay, turn_interval(board, what, now));
     const auto jitter = board.members.random() % 50;
     return delay + delay * jitter / 100;
 }
@@ -144,7 +147,7 @@
 auto next_store_call(blackboard &board, feed what, time_point now)
     -> std::optional<store_call> {
     auto &call = call_state_of(board, what);
-    if (call.in_flight || now < call.not_before ||
+    if (!is_enabled(board, what) || call.in_flight || now < call.not_before ||
         !decide_store_call(board, what, now))
         return std::nullopt;
     call.in_flight = true;
@@ -152,15 +155,20 @@
     const auto &own_version = version_of(board, what);
     // Except at the first start of the system, a cheaper list, possibly stale,
     // is enough: the watch that follows, by this balancer or a peer, brings the
-    // state up to date.
+    // state up to date. Not so for evacuations: flows would be placed on a
+    // domain whose evacuation is older than the list, after a restart of all
+    // balancers for longer than the time bound.
     if (own_version.as_of == 0)
-        return store_call{
-            .what = what, .list = true, .may_be_stale = !board.first_start};
+        return store_call{.what = what,
+                          .list = true,
+                          .may_be_stale =
+                              !board.first_start && what != feed::evacuations};
     if (call.needs_list)
         return store_call{.what = what, .list = true};
     return store_call{.what = what,
                       .since = own_version.as_of,
-                      .wait = board.apply_within * watch_wait_percent / 100};
+                      .wait =
+                          time_bound(board, what) * watch_wait_percent / 100};
 }
 
 auto schedule_next_call(blackboard &board, const store_answer &answer,
@@ -173,15 +181,18 @@
         call.not_before = now;
         return;
     case store_outcome::changed: {
+        // Evacuations are rare and not batched, so that a further one is known
+        // here even if the store fails soon after it.
         const auto changes =
             !answer.records.empty() || answer.latest_configuration;
-        const auto batching_delay = board.apply_within * batching_percent / 100;
+        const auto batching_delay =
+            time_bound(board, answer.what) * batching_percent / 100;
         call.not_before = now + (changes ? batching_delay : min_call_interval);
         return;
     }
     case store_outcome::refused:
     case store_outcome::failed:
-        call.not_before = now + retry_delay(board, call, now);
+        call.not_before = now + retry_delay(board, answer.what, now);
     }
 }
 
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -41,7 +41,9 @@
     if (to == no_upstream)
         return refuse(state.upstreams_known ? verdict_kind::reject
                                             : verdict_kind::hold,
-                      refusal::no_upstream);
+                      has_withheld_upstreams(state.upstreams, service)
+                          ? refusal::evacuated
+                          : refusal::no_upstream);
     if (known == nullptr)
         known = add_flow(state.flows, header.endpoints, now);
     if (known == nullptr)
@@ -80,7 +82,7 @@
 
 auto steer_opening(steering_state &state, const packet_header &header,
                    time_point now) -> verdict {
-    if (!state.in_force)
+    if (!state.in_force || !state.evacuations_known)
         return refuse(verdict_kind::hold, refusal::no_configuration);
     const auto *route = find_route(*state.in_force, header.endpoints.service);
     if (route == nullptr)
@@ -138,7 +140,8 @@
 auto to_string(refusal why) -> std::string_view {
     static constexpr std::array names{
         "none",        "no_configuration", "no_route",
-        "no_upstream", "unknown_binding",  "dead_upstream"};
+        "no_upstream", "unknown_binding",  "dead_upstream",
+        "evacuated"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -179,7 +182,8 @@
                  time_point now) -> verdict {
     auto *known = find_flow(state.flows, endpoints);
     if (known == nullptr || known->stage != flow_stage::opening ||
-        known->to == no_upstream || known->attempts > 1)
+        known->to == no_upstream || known->attempts > 1 ||
+        !state.evacuations_known)
         return {};
     auto &silent = state.upstreams.all[known->to];
     if (!answered_since(state, *known))
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -32,7 +32,8 @@
     no_upstream,
     unknown_binding, ///< no upstream has the packet's binding code
     dead_upstream,
-    count ///< number of values above
+    evacuated, ///< all upstreams are in evacuated failure domains
+    count      ///< number of values above
 };
 
 /// Name of a refusal in logs and metrics, for example `no_route`.
@@ -65,6 +66,9 @@
     /// Failure domains from which the flows of other balancers of the own
     /// domain get no answers, as those balancers report.
     std::vector<std::uint32_t> reported_unresponsive;
+    /// Whether the evacuated failure domains are known, or not used. No flow is
+    /// placed before.
+    bool evacuations_known = true;
 };
 
 /// Decides about one packet of a caller and updates the packet's flow.
--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -51,7 +51,9 @@
 } // namespace
 
 auto to_string(feed what) -> std::string_view {
-    return what == feed::configuration ? "configuration" : "upstreams";
+    static constexpr std::array<std::string_view, feed_count> names{
+        "configuration", "upstreams", "evacuations"};
+    return names[static_cast<std::size_t>(what)];
 }
 
 auto update_member(fleet &members, const fleet_member &member) -> void {
--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -11,8 +11,8 @@
 
 namespace dogwoodtrack::carried {
 
-/// The two kinds of state that are read from the store and spread by gossip.
-enum class feed : std::uint8_t { configuration, upstreams, count };
+/// The kinds of state that are read from the store and spread by gossip.
+enum class feed : std::uint8_t { configuration, upstreams, evacuations, count };
 /// Name of a feed in logs and metrics. Thread safe.
 auto to_string(feed what) -> std::string_view;
 
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -45,23 +45,27 @@
 }
 
 auto write_feeds(buffer &out, const blackboard &it, time_point now) -> void {
-    for (std::size_t i = 0; i < feed_count; ++i)
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        if (!is_enabled(it, static_cast<feed>(i)))
+            continue;
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
                        "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
                        to_string(static_cast<feed>(i)), it.versions[i].as_of,
                        age_ms(it.versions[i].confirmed, now));
+    }
 }
 
 auto write_upstream(buffer &out, const upstream &it, time_point now) -> void {
     fmt::format_to(
         std::back_inserter(out),
         R"({{"id":"{}","address":"{}","state":"{}","placeable":{},)"
+        R"("evacuated":{},)"
         R"("open":{},"service_ms":{:.1f},"unanswered":{},"doubt":{:.1f},)"
         R"("ejected":{}}})",
         it.record.id, to_string(it.record.address),
         state_names[static_cast<std::size_t>(it.record.state)], it.placeable,
-        it.stats.open, it.stats.service_ms, it.stats.unanswered,
+        it.withheld, it.stats.open, it.stats.service_ms, it.stats.unanswered,
         it.stats.failure_score, is_ejected(it, now));
 }
 
@@ -87,6 +91,7 @@
     write_gauge(out, "flows", it.steering.flows.all.size());
     write_gauge(out, "upstreams", it.steering.upstreams.by_id.size());
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
+    write_gauge(out, "evacuated_domains", it.evacuations.domains.size());
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
     return fmt::to_string(out) + metrics.to_prometheus();
@@ -101,12 +106,15 @@
         R"("members":{},"feeds":{{)",
         instance, can_serve(it), it.leaving, is_in_rotation(it),
         it.steering.flows.all.size(), count_live_members(it.members, now) + 1);
-    for (std::size_t i = 0; i < feed_count; ++i)
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        if (!is_enabled(it, static_cast<feed>(i)))
+            continue;
         fmt::format_to(std::back_inserter(out),
                        R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
                        i == 0 ? "" : ",", to_string(static_cast<feed>(i)),
                        it.versions[i].as_of,
                        age_ms(it.versions[i].confirmed, now));
+    }
     fmt::format_to(std::back_inserter(out), R"(}},"upstreams":[)");
     auto first = true;
     for (const auto &one : it.steering.upstreams.all) {
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -33,19 +33,31 @@
         std::erase(found->second, index);
 }
 
-auto update_placeable(upstream_table &table, upstream_index index) -> void {
+auto set_placeable(upstream_table &table, upstream_index index, bool placeable,
+                   bool withheld) -> void {
     auto &it = table.all[index];
-    const auto owns_code = index_by_code(table, it.code) == index;
-    const auto wanted = owns_code && may_get_flows(it.record);
-    if (wanted == it.placeable)
+    if (withheld != it.withheld) {
+        it.withheld = withheld;
+        auto &count = table.withheld[it.record.service];
+        count = withheld ? count + 1 : count - 1;
+    }
+    if (placeable == it.placeable)
         return;
-    it.placeable = wanted;
-    if (wanted)
+    it.placeable = placeable;
+    if (placeable)
         add_placeable(table, index);
     else
         remove_placeable(table, index);
 }
 
+auto update_placeable(upstream_table &table, upstream_index index) -> void {
+    const auto &it = table.all[index];
+    const auto owns_code = index_by_code(table, it.code) == index;
+    const auto eligible = owns_code && may_get_flows(it.record);
+    const auto evacuated = is_evacuated(table, it.record.failure_domain);
+    set_placeable(table, index, eligible && !evacuated, eligible && evacuated);
+}
+
 auto is_older(const upstream &a, const upstream &b) -> bool {
     if (a.record.born != b.record.born)
         return a.record.born < b.record.born;
@@ -120,8 +132,7 @@
 auto replace_record(upstream_table &table, upstream_index index,
                     const upstream_record &record, time_point now) -> void {
     auto &it = table.all[index];
-    remove_placeable(table, index);
-    it.placeable = false;
+    set_placeable(table, index, false, false);
     const auto changed = it.record.state != record.state;
     if (record.address != it.record.address)
         release_address(table, index);
@@ -265,6 +276,25 @@
     }
 }
 
+auto set_evacuated_domains(upstream_table &table,
+                           std::vector<std::uint32_t> domains) -> void {
+    std::sort(domains.begin(), domains.end());
+    table.evacuated_domains = std::move(domains);
+    for (upstream_index i = 0; i < table.all.size(); ++i)
+        update_placeable(table, i);
+}
+
+auto is_evacuated(const upstream_table &table, std::uint32_t domain) -> bool {
+    return std::binary_search(table.evacuated_domains.begin(),
+                              table.evacuated_domains.end(), domain);
+}
+
+auto has_withheld_upstreams(const upstream_table &table, service_key service)
+    -> bool {
+    const auto found = table.withheld.find(service);
+    return found != table.withheld.end() && found->second > 0;
+}
+
 auto has_successor(const upstream_table &table, upstream_index index,
                    const configuration &in_force) -> bool {
     const auto &it = table.all[index];
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -95,6 +95,8 @@
     upstream_record record;
     std::uint32_t code = 0; ///< binding code in the packets of its flows
     bool placeable = false; ///< may get new flows
+    /// Gets no new flows only because its failure domain is evacuated.
+    bool withheld = false;
     upstream_death death = upstream_death::none;
     time_point state_since{}; ///< last change of `record.state`
     time_point warm_at{};     ///< end of `record.cold_remaining`
@@ -140,6 +142,10 @@
     /// Failure domains in which no upstream answers, or silent upstreams
     /// outnumber answering ones.
     std::vector<std::uint32_t> mostly_silent_domains;
+    /// Evacuated failure domains, sorted; changed by `set_evacuated_domains`.
+    std::vector<std::uint32_t> evacuated_domains;
+    /// Number of upstreams of each service with `upstream::withheld`.
+    boost::unordered_flat_map<service_key, std::uint32_t> withheld;
 };
 
 /// Binding code of an incarnation: the same on every balancer, never 0.
@@ -175,6 +181,20 @@
 auto expire_upstreams(upstream_table &table, milliseconds retention,
                       time_point now) -> void;
 
+/// Sets which failure domains are evacuated: their upstreams get no new flows.
+/// Packets of existing flows are still forwarded. `domains` may be unsorted.
+auto set_evacuated_domains(upstream_table &table,
+                           std::vector<std::uint32_t> domains) -> void;
+
+/// Whether the upstreams of a failure domain get no new flows because the
+/// domain is evacuated.
+auto is_evacuated(const upstream_table &table, std::uint32_t domain) -> bool;
+
+/// Whether the service has upstreams that get no new flows only because their
+/// failure domains are evacuated.
+auto has_withheld_upstreams(const upstream_table &table, service_key service)
+    -> bool;
+
 /// Whether an upstream of a service that `in_force` names has the place of
 /// `table.all[index]`: a later incarnation has its identifier, or an upstream
 /// that started later has its address. This alone does not prove that the
