--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -28,6 +28,7 @@
     double flow_lifetime_s = 60;
     double apply_within_ms = 3'000;
     double drain_within_ms = 3'000;
+    double evacuate_within_ms = 0;
 };
 
 /// Format of the settings file. A setting without a value, or with an empty
@@ -101,6 +102,10 @@
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
         ->check(CLI::Range(100.0, 3'600'000.0));
+    add("--evacuate-within-ms", raw.evacuate_within_ms, "EVACUATE_WITHIN_MS",
+        "Milliseconds within which a failure domain that is evacuated must "
+        "stop receiving new flows; 0 to ignore evacuations")
+        ->check(CLI::Range(0.0, 0.0) | CLI::Range(100.0, 3'600'000.0));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
@@ -139,6 +144,7 @@
         it.balancer.stop_deadline -= exit_margin;
     it.balancer.apply_within =
         to_milliseconds(std::min(raw.apply_within_ms, raw.drain_within_ms));
+    it.balancer.evacuate_within = to_milliseconds(raw.evacuate_within_ms);
     it.balancer.flow_lifetime =
         to_milliseconds(raw.flow_lifetime_s * ms_per_second);
     it.min_severity = parse_severity(raw.log_level);
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -56,12 +56,14 @@
 flow-lifetime = 6e1
 apply-within-ms = 2.5e3
 drain-within-ms = 4000
+evacuate-within-ms = 5000
 )");
     REQUIRE(settings);
     const auto &it = settings.value().balancer;
     CHECK(it.stop_deadline == milliseconds{6'300});
     CHECK(it.flow_lifetime == milliseconds{60'000});
     CHECK(it.apply_within == milliseconds{2'500});
+    CHECK(it.evacuate_within == milliseconds{5'000});
 }
 
 // Guards against a balancer that does not start because the platform knows no
@@ -72,12 +74,14 @@
 cores =
 first-start =
 stop-deadline =
+evacuate-within-ms =
 )");
     REQUIRE(settings);
     const auto &it = settings.value().balancer;
     CHECK(it.seeds.empty());
     CHECK(it.operators.port == 0);
     CHECK_FALSE(it.first_start);
+    CHECK(it.evacuate_within == milliseconds{0});
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
@@ -85,6 +89,7 @@
     for (const std::string line :
          {"stop-deadline = -1", "stop-deadline = soon", "flow-lifetime = 0",
           "apply-within-ms = 99", "drain-within-ms = 1e9", "link = \"a:b\"",
+          "evacuate-within-ms = 99", "evacuate-within-ms = -1",
           "no-such-setting = 1", "link ="}) {
         CAPTURE(line);
         auto content = required_settings;
