quota: limit the requests to cold upstreams

Cause: an upstream that has just started can handle only a few requests per second, but balancers placed flows on it as on any other.

Change: services have cold_start_s and cold_per_s, spread with the shares of the routes. The balancers of the upstream's failure domain divide the limit without a coordinator (quota_share) and compare their requests of a sliding second with their share (cold_quota). Records passed on to peers have the warm-up time that remains. Off without cold-overage or cold_per_s.

--- a/fuzz/carried_peer.cpp
+++ b/fuzz/carried_peer.cpp
@@ -7,6 +7,7 @@
                                        std::size_t size) -> int {
     carried::blackboard board;
     board.members.self.address = 1;
+    board.steering.upstreams.cold.bounds = {.overage = 1.5, .slack = 5};
     const auto message = carried::decode_peer_message(
         {reinterpret_cast<const char *>(data), size});
     if (!message)
--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -101,6 +101,13 @@
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
         ->check(CLI::Range(100.0, 3'600'000.0));
+    add("--cold-overage", it.balancer.cold.overage, "COLD_OVERAGE",
+        "Requests per second that all balancers together may send a cold "
+        "upstream, as a multiple of what it can handle; 0: no limit")
+        ->check(CLI::Range(0.0, 1'000.0));
+    add("--cold-slack", it.balancer.cold.slack, "COLD_SLACK",
+        "Requests that a cold upstream may get per second in addition")
+        ->check(CLI::Range(0.0, 1'000'000.0));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -81,11 +81,26 @@
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
+TEST_CASE("limits of cold upstreams are off if their settings are empty") {
+    const auto off = read(required_settings + R"(cold-overage =
+cold-slack =
+)");
+    REQUIRE(off);
+    CHECK(off.value().balancer.cold == carried::cold_bounds{});
+    const auto on = read(required_settings + R"(cold-overage = 1.5
+cold-slack = 5
+)");
+    REQUIRE(on);
+    CHECK(on.value().balancer.cold.overage == 1.5);
+    CHECK(on.value().balancer.cold.slack == 5);
+}
+
 TEST_CASE("a wrong setting is rejected with its name") {
     for (const std::string line :
          {"stop-deadline = -1", "stop-deadline = soon", "flow-lifetime = 0",
           "apply-within-ms = 99", "drain-within-ms = 1e9", "link = \"a:b\"",
-          "no-such-setting = 1", "link ="}) {
+          "cold-overage = -1", "cold-slack = much", "no-such-setting = 1",
+          "link ="}) {
         CAPTURE(line);
         auto content = required_settings;
         if (line.starts_with("link"))
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -13,6 +13,7 @@
 #include "carried/feeds/store_watch.hpp"
 #include "carried/http_responder.hpp"
 #include "carried/members/rotation.hpp"
+#include "carried/quota/cold_quota.hpp"
 #include "carried/report.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
 #include "dogwoodtrack/event_log.hpp"
@@ -35,6 +36,8 @@
 constexpr milliseconds leave_propagation_time{1'300};
 /// Interval between checks for changed settings.
 constexpr milliseconds reload_interval{1'000};
+/// Shortest interval between logged changes of the division of quotas.
+constexpr milliseconds division_log_interval{1'000};
 /// Longest part of an entry's name that is logged, in bytes.
 constexpr std::size_t max_logged_name = 100;
 /// Requested size of a socket's receive buffer, in bytes.
@@ -215,12 +218,32 @@
     send_messages(it, out);
 }
 
+// Logs changes of the division of quotas, at most once per second: while a
+// fleet starts, members become known one after the other.
+auto log_cold_division(balancer_context &it, time_point now) -> void {
+    const auto &quota = it.state.steering.upstreams.cold;
+    if (quota.members.generation == it.logged_division ||
+        now < it.next_division_log ||
+        (quota.limits.empty() && it.logged_division == 0))
+        return;
+    it.logged_division = quota.members.generation;
+    it.next_division_log = now + division_log_interval;
+    const auto division = describe_division(quota, it.state.members, now);
+    log_event(severity::info, "cold_quota_changed",
+              {{"services", std::uint64_t{division.services}},
+               {"balancers", std::uint64_t{division.divisor}},
+               {"silent", std::uint64_t{division.silent}},
+               {"oldest_ms", std::int64_t{division.oldest.count()}},
+               {"small_share", division.small_share}});
+}
+
 auto tick(balancer_context &it, time_point now) -> void {
     if (now < it.next_tick)
         return;
     it.next_tick = now + tick_interval;
     auto &steering = it.state.steering;
     refresh_steering(it.state, now);
+    log_cold_division(it, now);
     expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
                      now);
     for (const auto ms : std::exchange(steering.flows.response_times_ms, {}))
@@ -284,6 +307,10 @@
     it.steering.flows.limit = options.flow_capacity;
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
+    auto &steering = it.steering;
+    if (steering.upstreams.cold.bounds != options.cold)
+        update_cold_limits(steering.upstreams.cold, steering.in_force.get(),
+                           options.cold);
     it.members.seeds.clear();
     for (const auto &seed : options.seeds)
         it.members.seeds.push_back(seed.address);
@@ -311,6 +338,7 @@
     it.options.apply_within = next.apply_within;
     it.options.stop_deadline = next.stop_deadline;
     it.options.flow_lifetime = next.flow_lifetime;
+    it.options.cold = next.cold;
     it.options.flow_capacity = next.flow_capacity;
     it.options.cores = next.cores;
     it.options.seeds = next.seeds;
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -52,6 +52,8 @@
                                  ///< starts for the first time
     /// Time within which a change accepted by the store must be in force.
     milliseconds apply_within{3'000};
+    /// Limits of cold upstreams; none if `cold.overage` is 0.
+    cold_bounds cold;
     std::size_t flow_capacity = 50'000; ///< maximum number of tracked flows
     milliseconds stop_deadline{5'000};  ///< maximum duration of a planned stop
     milliseconds flow_lifetime{60'000}; ///< expected maximum duration of a flow
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -39,6 +39,9 @@
     time_point next_reload{};
     time_point last_packet_at{};
     time_point stop_requested_at{};
+    time_point next_division_log{};
+    /// `quota_members::generation` when it was last logged; 0: never.
+    std::uint32_t logged_division = 0;
     bool can_serve_logged = false; ///< the event `can_serve` has been logged
 };
 
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -30,6 +30,9 @@
     const auto own = rank_in_domain(board.members, board.started, now);
     board.steering.position.rank = own.rank;
     board.steering.position.count = own.count;
+    auto &cold = board.steering.upstreams.cold;
+    if (cold.bounds.overage > 0)
+        update_quota_members(cold.members, board.members, board.started, now);
 }
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -17,6 +17,10 @@
 struct weighted_service {
     service_key service = 0;
     std::uint32_t weight = 1; ///< relative to the route's other services
+    /// Time for which an upstream of the service is cold after its start.
+    milliseconds cold_start{0};
+    /// Requests per second that a cold upstream can handle; 0: no limit.
+    double cold_per_s = 0;
 };
 
 /// An address that callers open flows to, and how to serve these flows.
@@ -37,6 +41,9 @@
     std::vector<route_spec> routes;    ///< sorted by address
 };
 
+/// Largest valid `weighted_service::cold_per_s`.
+inline constexpr double max_cold_per_s = 1e6;
+
 /// Sorts the routes by address, as `find_route` requires.
 auto sort_routes(configuration &it) -> void;
 
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "carried/members/rotation.hpp"
+#include "carried/quota/cold_quota.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
 
 namespace dogwoodtrack::carried {
@@ -87,12 +88,18 @@
 
 // ---- sending state
 
-auto records_since(const blackboard &board, std::uint64_t since)
+// The records have the warm-up time that remains now, not the one when the
+// store's entry was written.
+auto records_since(const blackboard &board, std::uint64_t since, time_point now)
     -> std::vector<upstream_record> {
     std::vector<upstream_record> records;
     for (const auto &upstream : board.steering.upstreams.all) {
-        if (!upstream.record.id.empty() && upstream.record.changed_at > since)
-            records.push_back(upstream.record);
+        if (upstream.record.id.empty() || upstream.record.changed_at <= since)
+            continue;
+        records.push_back(upstream.record);
+        records.back().cold_remaining =
+            std::max(milliseconds{0},
+                     std::chrono::ceil<milliseconds>(upstream.warm_at - now));
     }
     return records;
 }
@@ -106,8 +113,9 @@
     if (since < removals_since(board, feed::upstreams))
         since = 0;
     const auto version = make_reported_version(board, feed::upstreams, now);
-    add_messages(to, split_records(records_since(board, since), since, version),
-                 out);
+    add_messages(
+        to, split_records(records_since(board, since, now), since, version),
+        out);
 }
 
 auto send_routes(const blackboard &board, std::uint32_t to, time_point now,
@@ -362,7 +370,7 @@
 auto forward_records(blackboard &board, std::uint64_t since,
                      std::uint32_t except, time_point now,
                      std::vector<outgoing_message> &out) -> void {
-    const auto records = records_since(board, since);
+    const auto records = records_since(board, since, now);
     if (records.size() > max_pushed_records)
         return advertise(board, except, now, out);
     const auto version = make_reported_version(board, feed::upstreams, now);
@@ -378,6 +386,8 @@
         return false;
     sort_routes(*next);
     current = std::move(next);
+    auto &cold = board.steering.upstreams.cold;
+    update_cold_limits(cold, current.get(), cold.bounds);
     return true;
 }
 
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -98,7 +98,12 @@
     left_ms = 2,
     ejections = 3
 };
-enum class weight_field : protozero::pbf_tag_type { service = 1, weight = 2 };
+enum class weight_field : protozero::pbf_tag_type {
+    service = 1,
+    weight = 2,
+    cold_start_ms = 3,
+    cold_per_s = 4
+};
 
 template <typename Field>
 using builder = protozero::pbf_builder<Field>;
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -58,6 +58,11 @@
         builder<weight_field> to(out, route_field::service);
         to.add_fixed64(weight_field::service, share.service);
         to.add_uint32(weight_field::weight, share.weight);
+        if (share.cold_per_s <= 0)
+            continue;
+        to.add_uint64(weight_field::cold_start_ms,
+                      to_wire_ms(share.cold_start));
+        to.add_double(weight_field::cold_per_s, share.cold_per_s);
     }
 }
 
@@ -196,7 +201,7 @@
 auto split_routes(const configuration &whole, const reported_version &version)
     -> std::vector<routes_message> {
     constexpr std::size_t fixed_fields_size = 40;
-    constexpr std::size_t share_size = 18;
+    constexpr std::size_t share_size = 34;
     auto empty_part = whole;
     empty_part.routes.clear();
     return split<routes_message, route_spec>(
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -124,6 +124,11 @@
     return it;
 }
 
+// Comparisons with a value that is not a number are false.
+auto read_cold_rate(double value) -> double {
+    return value > 0 && value <= max_cold_per_s ? value : 0;
+}
+
 auto read_share(reader<weight_field> in) -> weighted_service {
     weighted_service it;
     while (in.next()) {
@@ -134,6 +139,12 @@
         case weight_field::weight:
             it.weight = in.get_uint32();
             break;
+        case weight_field::cold_start_ms:
+            it.cold_start = to_milliseconds(in.get_uint64());
+            break;
+        case weight_field::cold_per_s:
+            it.cold_per_s = read_cold_rate(in.get_double());
+            break;
         default:
             in.skip();
         }
--- a/src/libdogwoodtrack/carried/flows/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows/flows.cpp
@@ -1,5 +1,7 @@
 #include "carried/flows/flows.hpp"
 
+#include "carried/quota/cold_flows.hpp"
+
 #include <algorithm>
 
 namespace dogwoodtrack::carried {
@@ -217,11 +219,13 @@
 
 auto close_flow(upstream_table &upstreams, flow &it) -> void {
     uncount_flow(upstreams, it);
+    release_cold_flow(upstreams, it);
     it.stage = flow_stage::closed;
 }
 
 auto bind_flow(upstream_table &upstreams, flow &it, upstream_index to) -> void {
     uncount_flow(upstreams, it);
+    release_cold_flow(upstreams, it);
     it.to = to;
     it.code = upstreams.all[to].code;
     count_flow(upstreams, it);
@@ -243,6 +247,7 @@
         record_first_response(it, now);
     if (header.payload > 0 && it.stage != flow_stage::requested) {
         record_complete_response(flows, upstreams, it, header, now);
+        count_cold_request(upstreams, it, now);
         it.stage = flow_stage::requested;
         it.request_seen = now;
         it.timed_out = false;
@@ -274,6 +279,7 @@
             continue;
         }
         uncount_flow(upstreams, it);
+        release_cold_flow(upstreams, it);
         flows.all.erase(found);
     }
 }
--- a/src/libdogwoodtrack/carried/flows/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows/flows.hpp
@@ -57,6 +57,8 @@
     bool timed_out = false; ///< the current request has timed out
     /// Was added to `upstream_stats::silent_flows` for the current request.
     bool silent = false;
+    /// Stands for a request in `cold_usage::held` of the upstream `to`.
+    bool holds_quota = false;
     std::uint8_t attempts = 0; ///< number of times that an upstream was chosen
     /// Acknowledgement number when the current request was sent.
     std::uint32_t acknowledged_at_request = 0;
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "carried/quota/cold_flows.hpp"
 #include "carried/upstreams/dead_upstreams.hpp"
 
 namespace dogwoodtrack::carried {
@@ -44,9 +45,12 @@
                       refusal::no_upstream);
     if (known == nullptr)
         known = add_flow(state.flows, header.endpoints, now);
-    if (known == nullptr)
+    if (known == nullptr) {
+        count_untracked_request(state.upstreams, to, now);
         return forward_to(state, to);
+    }
     bind_flow(state.upstreams, *known, to);
+    count_cold_opening(state.upstreams, *known, now);
     known->stage = flow_stage::opening;
     known->opening_sent = now;
     known->last_packet = now;
@@ -75,6 +79,7 @@
 
 auto clear_flow(steering_state &state, flow &it) -> void {
     uncount_flow(state.upstreams, it);
+    release_cold_flow(state.upstreams, it);
     it = {};
 }
 
@@ -171,6 +176,8 @@
         if (known->to != to)
             bind_flow(state.upstreams, *known, to);
         track_packet(state.flows, state.upstreams, *known, header, now);
+    } else if (header.payload > 0) {
+        count_untracked_request(state.upstreams, to, now);
     }
     return forward_to(state, to);
 }
@@ -194,6 +201,7 @@
     if (to == no_upstream || to == known->to)
         return {};
     bind_flow(state.upstreams, *known, to);
+    count_cold_opening(state.upstreams, *known, now);
     known->opening_sent = now;
     ++known->attempts;
     return forward_to(state, to);
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include "carried/members/rotation.hpp"
+#include "carried/quota/cold_quota.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
 
 namespace dogwoodtrack::carried {
@@ -53,6 +54,26 @@
                        age_ms(it.versions[i].confirmed, now));
 }
 
+auto write_cold_quota(buffer &out, const upstream_table &upstreams,
+                      time_point now) -> void {
+    const auto &quota = upstreams.cold;
+    const auto &counters = quota.counters;
+    write_counter(out, "cold_openings_total", counters.openings);
+    write_counter(out, "cold_requests_total", counters.requests);
+    write_counter(out, "cold_requests_over_share_total",
+                  counters.requests_over_share);
+    fmt::format_to(std::back_inserter(out),
+                   "# TYPE dogwoodtrack_cold_passed_over_total counter\n"
+                   "dogwoodtrack_cold_passed_over_total{{why=\"over_share\"}} "
+                   "{}\n"
+                   "dogwoodtrack_cold_passed_over_total{{why=\"other_domain\"}}"
+                   " {}\n",
+                   counters.over_share, counters.other_domain);
+    write_counter(out, "cold_without_result_total", counters.without_result);
+    write_gauge(out, "cold_upstreams", count_cold_upstreams(upstreams, now));
+    write_gauge(out, "quota_balancers", quota_divisor(quota.members));
+}
+
 auto write_upstream(buffer &out, const upstream &it, time_point now) -> void {
     fmt::format_to(
         std::back_inserter(out),
@@ -89,6 +110,7 @@
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
+    write_cold_quota(out, it.steering.upstreams, now);
     return fmt::to_string(out) + metrics.to_prometheus();
 }
 
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -1,5 +1,6 @@
 #include "carried/upstreams/upstream_selection.hpp"
 
+#include "carried/quota/cold_quota.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
 
 #include <algorithm>
@@ -102,6 +103,34 @@
     }
 };
 
+// Reasons for which a search has passed over cold upstreams.
+struct passed_over {
+    bool over_share = false;
+    bool other_domain = false;
+};
+
+// Whether the flow may be placed on this upstream as far as that is cold. The
+// upstream that the flow was sent to before counts the flow already.
+auto may_get_flow(upstream_table &table, upstream_index index,
+                  const new_flow &wanted, std::uint32_t own_domain,
+                  time_point now, passed_over &reasons) -> bool {
+    if (index == wanted.excluded)
+        return true;
+    const auto admission =
+        admit_cold(table.cold, table.all[index], own_domain, now);
+    reasons.over_share |= admission == cold_admission::over_share;
+    reasons.other_domain |= admission == cold_admission::other_domain;
+    return admission == cold_admission::admitted;
+}
+
+auto count_passed_over(cold_counters &counters, const passed_over &reasons,
+                       bool found) -> void {
+    counters.over_share += reasons.over_share ? 1 : 0;
+    counters.other_domain += reasons.other_domain ? 1 : 0;
+    if (!found && (reasons.over_share || reasons.other_domain))
+        ++counters.without_result;
+}
+
 } // namespace
 
 auto choose_upstream(upstream_table &table, const new_flow &wanted,
@@ -116,9 +145,13 @@
                        std::max<std::uint32_t>(1, position.count);
     best_candidate best;
     best_candidate fallback;
+    passed_over reasons;
     for (std::size_t i = 0; i < list.size(); ++i) {
         const auto index = list[(start + i) % list.size()];
         const auto &it = table.all[index];
+        if (!may_get_flow(table, index, wanted, position.failure_domain, now,
+                          reasons))
+            continue;
         const auto load = load_after_placing(it, position, mean_ms, now);
         if (index == wanted.excluded || it.death == upstream_death::cut_off ||
             (is_avoided(it, now) && !may_send_trial(it, wanted.kind, now)))
@@ -129,6 +162,9 @@
             best.offer(index, load);
     }
     const auto chosen = best.index == no_upstream ? fallback.index : best.index;
+    count_passed_over(table.cold.counters, reasons, chosen != no_upstream);
+    if (chosen == no_upstream)
+        return no_upstream;
     auto &it = table.all[chosen];
     if (is_avoided(it, now))
         it.stats.last_trial = now;
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -35,8 +35,9 @@
 /// non-idempotent requests. If every upstream is excluded, cut off, or avoided
 /// and may get no trial flow now, the one with the lowest load is chosen all
 /// the same. Updates `upstream_stats::last_trial` of an avoided upstream that
-/// is chosen. Returns `no_upstream` if the service has no upstream that may get
-/// new flows.
+/// is chosen. A cold upstream that `admit_cold` does not admit is passed over
+/// in any case. Returns `no_upstream` if the service has no upstream that may
+/// get new flows.
 auto choose_upstream(upstream_table &table, const new_flow &wanted,
                      const domain_position &position, time_point now)
     -> upstream_index;
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -101,6 +101,7 @@
     it.record = record;
     it.code = binding_code(record);
     it.state_since = now;
+    it.cold.known_since = now;
     it.warm_at = now + record.cold_remaining;
     table.by_id[record.id] = index;
     claim_code(table, index);
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "carried/feeds/configuration.hpp"
+#include "carried/quota/cold_usage.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -99,6 +100,7 @@
     time_point state_since{}; ///< last change of `record.state`
     time_point warm_at{};     ///< end of `record.cold_remaining`
     upstream_stats stats;
+    cold_usage cold;
 };
 
 /// Index of an upstream in `upstream_table::all`; valid until the upstream is
@@ -140,6 +142,7 @@
     /// Failure domains in which no upstream answers, or silent upstreams
     /// outnumber answering ones.
     std::vector<std::uint32_t> mostly_silent_domains;
+    cold_quota cold; ///< limits of cold upstreams
 };
 
 /// Binding code of an incarnation: the same on every balancer, never 0.
