--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -106,7 +106,12 @@
     domain = 4
 };
 enum class evacuated_field : protozero::pbf_tag_type { domain = 1, name = 2 };
-enum class weight_field : protozero::pbf_tag_type { service = 1, weight = 2 };
+enum class weight_field : protozero::pbf_tag_type {
+    service = 1,
+    weight = 2,
+    cold_start_ms = 3,
+    cold_per_s = 4
+};
 
 template <typename Field>
 using builder = protozero::pbf_builder<Field>;
