load: count the load that a balancer sees in its flows

The load exchange needs demand, requests under way, answers and rejections of each service and upstream. The tracker takes them from the flow events: an opening counts once, admitted or not, and when it is decided about; the first request of a flow belongs to its opening. Off unless the setting load-plans is on.

--- a/src/libdogwoodtrack/carried/flows/flows.cpp
+++ b/src/libdogwoodtrack/carried/flows/flows.cpp
@@ -61,8 +61,24 @@
         stats.silent_since = now;
 }
 
-auto record_first_response(flow &it, time_point now) -> void {
+// Counts a request under way. The first request of a flow that was opened
+// through this balancer belongs to the opening.
+auto begin_tracked_request(flow_table &flows, const upstream_table &upstreams,
+                           flow &it) -> void {
+    if (!flows.load.enabled || it.to == no_upstream)
+        return;
+    it.under_way = true;
+    begin_request(flows.load, {.service = upstreams.all[it.to].record.service,
+                               .code = it.code,
+                               .priority = it.priority,
+                               .follows_up = it.stage != flow_stage::open ||
+                                             it.attempts == 0});
+}
+
+auto record_first_response(flow_table &flows, flow &it, time_point now)
+    -> void {
     it.stage = flow_stage::answered;
+    end_tracked_request(flows, it);
     if (it.request_seen != time_point{})
         it.response_ms = milliseconds_between(it.request_seen, now);
 }
@@ -106,8 +122,12 @@
         .ms = std::max(0.0F, it.response_ms - profile.round_trip_ms),
         .bytes = static_cast<float>(header.acknowledged -
                                     it.acknowledged_at_request)};
-    if (detect_error_or_learn(profile, response))
+    const auto service = upstreams.all[it.to].record.service;
+    if (detect_error_or_learn(profile, response)) {
+        count_rejection(flows.load, service, it.code);
         return record_outcome(upstreams, it.to, request_outcome::error, now);
+    }
+    count_answer(flows.load, service, it.code, response.ms);
     record_outcome(upstreams, it.to, request_outcome::answered, now);
     record_response_time(upstreams.all[it.to].stats, it.response_ms);
     if (flows.response_times_ms.size() < max_response_times)
@@ -163,6 +183,7 @@
         return;
     it.timed_out = true;
     uncount_flow(upstreams, it);
+    end_tracked_request(flows, it);
     const auto may_have_moved = it.request_seen <= flows.last_rehash;
     if (it.to != no_upstream && !may_have_moved)
         record_outcome(upstreams, it.to, request_outcome::timed_out, now);
@@ -215,8 +236,17 @@
     return it.stage != flow_stage::opening && it.stage != flow_stage::closed;
 }
 
-auto close_flow(upstream_table &upstreams, flow &it) -> void {
+auto end_tracked_request(flow_table &flows, flow &it) -> void {
+    if (!it.under_way)
+        return;
+    it.under_way = false;
+    end_request(flows.load, it.code);
+}
+
+auto close_flow(flow_table &flows, upstream_table &upstreams, flow &it)
+    -> void {
     uncount_flow(upstreams, it);
+    end_tracked_request(flows, it);
     it.stage = flow_stage::closed;
 }
 
@@ -240,9 +270,10 @@
     record_acknowledgement(upstreams, it, header.acknowledged, now);
     if (it.stage == flow_stage::requested &&
         header.acknowledged != it.acknowledged_at_request)
-        record_first_response(it, now);
+        record_first_response(flows, it, now);
     if (header.payload > 0 && it.stage != flow_stage::requested) {
         record_complete_response(flows, upstreams, it, header, now);
+        begin_tracked_request(flows, upstreams, it);
         it.stage = flow_stage::requested;
         it.request_seen = now;
         it.timed_out = false;
@@ -255,7 +286,7 @@
     if (header.finishes)
         record_complete_response(flows, upstreams, it, header, now);
     if (header.finishes || header.aborts)
-        close_flow(upstreams, it);
+        close_flow(flows, upstreams, it);
 }
 
 auto sweep_flows(flow_table &flows, upstream_table &upstreams,
@@ -274,6 +305,7 @@
             continue;
         }
         uncount_flow(upstreams, it);
+        end_tracked_request(flows, it);
         flows.all.erase(found);
     }
 }
--- a/src/libdogwoodtrack/carried/flows/flows.hpp
+++ b/src/libdogwoodtrack/carried/flows/flows.hpp
@@ -5,6 +5,7 @@
 #include <boost/container_hash/hash.hpp>
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include "carried/load/load_tracker.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
 
 namespace dogwoodtrack::carried {
@@ -58,6 +59,8 @@
     /// Was added to `upstream_stats::silent_flows` for the current request.
     bool silent = false;
     std::uint8_t attempts = 0; ///< number of times that an upstream was chosen
+    std::uint8_t priority = 0; ///< of the flow's route, see `priority_index`
+    bool under_way = false;    ///< its request is counted by the load tracker
     /// Acknowledgement number when the current request was sent.
     std::uint32_t acknowledged_at_request = 0;
     std::uint32_t latest_acknowledged = 0; ///< latest acknowledgement number
@@ -88,6 +91,7 @@
     std::uint64_t overflowed = 0; ///< flows not added because of `limit`
     /// Response times that the metrics have not yet taken, at most 1,024.
     std::vector<float> response_times_ms;
+    load_tracker load; ///< load seen in the flows' packets
 };
 
 /// The flow with these endpoints, or null.
@@ -122,8 +126,11 @@
 /// Whether the handshake is completed and the flow is not closed.
 auto is_established(const flow &it) -> bool;
 
+/// Ends the flow's request for the load tracker if it is under way.
+auto end_tracked_request(flow_table &flows, flow &it) -> void;
+
 /// Marks the flow as closed. Its entry is kept for a while for late packets.
-auto close_flow(upstream_table &upstreams, flow &it) -> void;
+auto close_flow(flow_table &flows, upstream_table &upstreams, flow &it) -> void;
 
 /// Checks up to `max_flows` flows, continuing where the last call stopped:
 /// removes those that were closed or idle for long enough, and records
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -47,6 +47,7 @@
     if (known == nullptr)
         return forward_to(state, to);
     bind_flow(state.upstreams, *known, to);
+    known->priority = static_cast<std::uint8_t>(priority_index(route.priority));
     known->stage = flow_stage::opening;
     known->opening_sent = now;
     known->last_packet = now;
@@ -75,6 +76,7 @@
 
 auto clear_flow(steering_state &state, flow &it) -> void {
     uncount_flow(state.upstreams, it);
+    end_tracked_request(state.flows, it);
     it = {};
 }
 
@@ -104,6 +106,30 @@
     return place_flow(state, header, *route, known, now);
 }
 
+// Whether an opening packet opens a flow that this balancer has not seen yet.
+auto opens_new_flow(steering_state &state, const packet_header &header,
+                    time_point now) -> bool {
+    if (header.retransmission > 0)
+        return false;
+    const auto *known = find_flow(state.flows, header.endpoints);
+    return known == nullptr || is_new_flow(*known, header, now);
+}
+
+// Counts a new flow for the load report, once it is decided about.
+auto track_decision(steering_state &state, const packet_header &header,
+                    const verdict &decision) -> void {
+    if (!state.in_force || decision.kind == verdict_kind::hold)
+        return;
+    const auto *route = find_route(*state.in_force, header.endpoints.service);
+    if (route == nullptr)
+        return;
+    count_opening(
+        state.flows.load,
+        choose_service(*route, flow_endpoints_hash{}(header.endpoints)),
+        priority_index(route->priority),
+        decision.kind == verdict_kind::forward);
+}
+
 // Upstream that a packet after the opening goes to. The first such packet
 // carries the binding of the upstream that the caller connected to. Later
 // packets go to this upstream even if the answer of a second upstream has
@@ -124,6 +150,15 @@
     return route == nullptr ? request_kind::non_idempotent : route->kind;
 }
 
+auto priority_of(const steering_state &state, const endpoint &service)
+    -> std::uint8_t {
+    const auto *route =
+        state.in_force ? find_route(*state.in_force, service) : nullptr;
+    return static_cast<std::uint8_t>(route == nullptr
+                                         ? priority_count - 1
+                                         : priority_index(route->priority));
+}
+
 auto must_reset(const steering_state &state, upstream_index to,
                 const endpoint &service, bool awaits_response) -> bool {
     if (to == no_upstream ||
@@ -144,8 +179,14 @@
 
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict {
-    if (header.opens)
-        return steer_opening(state, header, now);
+    if (header.opens) {
+        const auto is_new =
+            state.flows.load.enabled && opens_new_flow(state, header, now);
+        const auto decision = steer_opening(state, header, now);
+        if (is_new)
+            track_decision(state, header, decision);
+        return decision;
+    }
     auto *known = find_flow(state.flows, header.endpoints);
     const auto to = resolve_binding(state, known, header.binding);
     if (to == no_upstream)
@@ -160,11 +201,13 @@
         if (header.payload == 0)
             state.flows.last_rehash = now;
         known = add_flow(state.flows, header.endpoints, now);
+        if (known != nullptr)
+            known->priority = priority_of(state, header.endpoints.service);
     }
     if (!header.finishes && !header.aborts &&
         must_reset(state, to, header.endpoints.service, header.payload > 0)) {
         if (known != nullptr)
-            close_flow(state.upstreams, *known);
+            close_flow(state.flows, state.upstreams, *known);
         return refuse(verdict_kind::reject, refusal::dead_upstream);
     }
     if (known != nullptr) {
@@ -182,8 +225,10 @@
         known->to == no_upstream || known->attempts > 1)
         return {};
     auto &silent = state.upstreams.all[known->to];
-    if (!answered_since(state, *known))
+    if (!answered_since(state, *known)) {
         record_unanswered(silent, now);
+        count_unanswered(state.flows.load, silent.record.service, known->code);
+    }
     // The flow is treated as non-idempotent, so that the retry does not become
     // the trial flow of an upstream on probation.
     const new_flow wanted{.service = silent.record.service,
@@ -219,7 +264,7 @@
             !must_reset(state, it.to, endpoints.service,
                         it.stage == flow_stage::requested))
             continue;
-        close_flow(state.upstreams, it);
+        close_flow(state.flows, state.upstreams, it);
         at->flows.push_back(
             {.endpoints = endpoints, .acknowledged = it.latest_acknowledged});
     }
