--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "carried/load/load_exchange.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
 
@@ -60,6 +61,7 @@
     digest.sender = board.members.self;
     digest.sender.leaving = board.leaving;
     digest.wants_state = !can_serve(board);
+    digest.limit_binds = limit_binds(board.steering.plans, now);
     for (std::size_t i = 0; i < feed_count; ++i)
         digest.versions[i] =
             make_reported_version(board, static_cast<feed>(i), now);
@@ -238,6 +240,7 @@
     sender.address = from;
     sender.last_heard = now;
     update_member(board.members, sender);
+    on_limit_flag(board, sender, message.limit_binds, now);
     for (const auto &entry : message.members) {
         auto member = entry.member;
         member.last_heard = now - entry.age;
@@ -351,6 +354,24 @@
     handle_probe(board, from, message, now, out);
 }
 
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const load_report_message &message, time_point now,
+                    std::vector<outgoing_message> & /*out*/) -> void {
+    on_load_report(board, from, message, now);
+}
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const load_plan &message, time_point now,
+                    std::vector<outgoing_message> & /*out*/) -> void {
+    on_load_plan(board, from, message, now);
+}
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const domain_loads_message &message, time_point now,
+                    std::vector<outgoing_message> & /*out*/) -> void {
+    on_domain_loads(board, from, message, now);
+}
+
 } // namespace
 
 auto advertise(blackboard &board, std::uint32_t except, time_point now,
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -25,7 +25,10 @@
     routes = 4,
     outcomes = 5,
     judgements = 6,
-    probe = 7
+    probe = 7,
+    load_report = 9,
+    load_plan = 10,
+    domain_loads = 11
 };
 enum class member_field : protozero::pbf_tag_type {
     address = 1,
@@ -45,7 +48,8 @@
     sender = 1,
     version = 2,
     member = 3,
-    wants_state = 4
+    wants_state = 4,
+    limit_binds = 6
 };
 enum class pull_field : protozero::pbf_tag_type { what = 1, since = 2 };
 enum class record_field : protozero::pbf_tag_type {
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -1,4 +1,4 @@
-#include "carried/feeds/peer_fields.hpp"
+#include "carried/feeds/load_fields.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -71,6 +71,8 @@
         write({out, digest_field::member}, reported.member, reported.age);
     if (it.wants_state)
         out.add_bool(digest_field::wants_state, true);
+    if (it.limit_binds)
+        out.add_bool(digest_field::limit_binds, true);
 }
 
 auto write_body(builder<envelope_field> &envelope, const pull_message &it)
@@ -169,8 +171,9 @@
 auto message_name(const peer_message &message) -> std::string_view {
     static constexpr std::array<std::string_view,
                                 std::variant_size_v<peer_message>>
-        names{"digest",   "pull",       "records", "routes",
-              "outcomes", "judgements", "probe"};
+        names{"digest",    "pull",        "records", "routes",
+              "outcomes",  "judgements",  "probe",   "load_report",
+              "load_plan", "domain_loads"};
     return names[message.index()];
 }
 
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "carried/feeds/load_messages.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/members/probes.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
@@ -35,6 +36,8 @@
     std::vector<reported_member> members;
     /// The sender has not received the complete state since its start.
     bool wants_state = false;
+    /// The sender follows a load plan that admits only a part of the new flows.
+    bool limit_binds = false;
 };
 
 /// Requests everything in a feed that changed after store revision `since`.
@@ -90,7 +93,8 @@
 
 using peer_message =
     std::variant<digest_message, pull_message, records_message, routes_message,
-                 outcomes_message, judgements_message, probe_message>;
+                 outcomes_message, judgements_message, probe_message,
+                 load_report_message, load_plan, domain_loads_message>;
 
 /// Name of the kind of a message in logs, for example `digest`. Thread safe.
 auto message_name(const peer_message &message) -> std::string_view;
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -1,4 +1,4 @@
-#include "carried/feeds/peer_fields.hpp"
+#include "carried/feeds/load_fields.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -198,6 +198,9 @@
         case digest_field::wants_state:
             it.wants_state = read_flag(in);
             break;
+        case digest_field::limit_binds:
+            it.limit_binds = read_flag(in);
+            break;
         default:
             in.skip();
         }
@@ -386,6 +389,12 @@
         return read_list<judgements_message>(in.get_message(), read_judgement);
     case envelope_field::probe:
         return read_probe(in.get_message());
+    case envelope_field::load_report:
+        return read_load_report(in.get_message());
+    case envelope_field::load_plan:
+        return read_load_plan(in.get_message());
+    case envelope_field::domain_loads:
+        return read_domain_loads(in.get_message());
     default:
         return std::nullopt;
     }
