load: load exchange within and between failure domains

Each balancer reports every 250 ms to the elected load coordinator of its domain, which sends plans back and tells the coordinators of other domains the load of its own. A silent coordinator is skipped for 10 s. An expired plan leaves the balancer's own share of the limit. Off by default (load-plans).

--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -101,6 +101,15 @@
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
         ->check(CLI::Range(100.0, 3'600'000.0));
+    add("--load-plans", it.balancer.load_plans, "LOAD_PLANS",
+        "Whether balancers exchange their load and follow common plans");
+    add("--domain-traffic-price", it.balancer.domain_traffic_price,
+        "DOMAIN_TRAFFIC_PRICE",
+        "Cost of a KiB between failure domains, in milliseconds of waiting")
+        ->check(CLI::Range(0.0, 1e6));
+    add("--min-share", it.balancer.min_share, "MIN_SHARE",
+        "Part of a service's room that each priority gets at least")
+        ->check(CLI::Range(0.0, 0.25));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -81,11 +81,26 @@
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
+TEST_CASE("the load exchange is off unless it is set") {
+    const auto settings = read(required_settings + "load-plans =\n");
+    REQUIRE(settings);
+    CHECK_FALSE(settings.value().balancer.load_plans);
+    const auto on = read(required_settings + R"(load-plans = true
+domain-traffic-price = 0.25
+min-share = 0.1
+)");
+    REQUIRE(on);
+    CHECK(on.value().balancer.load_plans);
+    CHECK(on.value().balancer.domain_traffic_price == 0.25);
+    CHECK(on.value().balancer.min_share == 0.1);
+}
+
 TEST_CASE("a wrong setting is rejected with its name") {
     for (const std::string line :
          {"stop-deadline = -1", "stop-deadline = soon", "flow-lifetime = 0",
           "apply-within-ms = 99", "drain-within-ms = 1e9", "link = \"a:b\"",
-          "no-such-setting = 1", "link ="}) {
+          "no-such-setting = 1", "link =", "load-plans = maybe",
+          "domain-traffic-price = -1", "min-share = 0.3"}) {
         CAPTURE(line);
         auto content = required_settings;
         if (line.starts_with("link"))
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -12,6 +12,8 @@
 #include "carried/feeds/store_answers.hpp"
 #include "carried/feeds/store_watch.hpp"
 #include "carried/http_responder.hpp"
+#include "carried/load/load_exchange.hpp"
+#include "carried/load/load_log.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/report.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
@@ -262,6 +264,15 @@
     send_messages(it, out);
 }
 
+auto exchange_due_load(balancer_context &it, time_point now) -> void {
+    if (!it.options.load_plans || now < it.state.load.next_step)
+        return;
+    std::vector<outgoing_message> out;
+    exchange_load(it.state, now, out);
+    send_messages(it, out);
+    log_load_changes(it.state, now);
+}
+
 auto next_wake_time(const balancer_context &it, time_point now) -> time_point {
     auto next =
         std::min({it.next_tick, it.next_digest, it.store.next_deadline(),
@@ -270,6 +281,8 @@
         next = std::min(next, it.openings.front().due);
     if (!it.waiting.all.empty())
         next = std::min(next, it.next_held_retry);
+    if (it.options.load_plans)
+        next = std::min(next, it.state.load.next_step);
     for (const auto &call : it.state.calls) {
         if (!call.in_flight && call.not_before > now)
             next = std::min(next, call.not_before);
@@ -282,6 +295,9 @@
     constexpr double max_capacity = 60'000;
     it.apply_within = options.apply_within;
     it.steering.flows.limit = options.flow_capacity;
+    enable_load_exchange(it, options.load_plans);
+    it.load.price_ms_per_kib = static_cast<float>(options.domain_traffic_price);
+    it.load.min_share.fill(static_cast<float>(options.min_share));
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
     it.members.seeds.clear();
@@ -314,6 +330,9 @@
     it.options.flow_capacity = next.flow_capacity;
     it.options.cores = next.cores;
     it.options.seeds = next.seeds;
+    it.options.load_plans = next.load_plans;
+    it.options.domain_traffic_price = next.domain_traffic_price;
+    it.options.min_share = next.min_share;
     configure_board(it.state, it.options);
     const auto restart = next.link != it.options.link ||
                          next.peers != it.options.peers ||
@@ -377,6 +396,7 @@
         send_due_digests(it, now);
         update_and_log_rotation(it, now);
         tick(it, now);
+        exchange_due_load(it, now);
         reload_settings(it, now);
         log_can_serve(it, now);
         retry_held_packets(it, now);
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -55,6 +55,15 @@
     std::size_t flow_capacity = 50'000; ///< maximum number of tracked flows
     milliseconds stop_deadline{5'000};  ///< maximum duration of a planned stop
     milliseconds flow_lifetime{60'000}; ///< expected maximum duration of a flow
+    /// Exchange load within and between failure domains, see
+    /// `load/load_exchange.hpp`.
+    bool load_plans = false;
+    /// Cost of one KiB that crosses to another failure domain, in milliseconds
+    /// of a caller's waiting time.
+    double domain_traffic_price = 0.5;
+    /// Part of a service's room that each priority gets at least, if it asks
+    /// for it.
+    double min_share = 0;
     /// Returns the settings if they have changed since the last call and are
     /// valid. Called about once per second. An empty function means that
     /// settings are never reloaded.
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -5,6 +5,7 @@
 #include "carried/feeds/reassembly.hpp"
 #include "carried/feeds/store.hpp"
 #include "carried/flows/steering.hpp"
+#include "carried/load/load_exchange_state.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/members/probes.hpp"
 
@@ -94,6 +95,7 @@
     milliseconds apply_within{3'000};
     bool leaving = false; ///< a planned stop has begun
     blackboard_counters counters;
+    load_exchange_state load;
 };
 
 auto version_of(blackboard &board, feed what) -> feed_version &;
--- a/src/libdogwoodtrack/carried/load/load_plan_state.hpp
+++ b/src/libdogwoodtrack/carried/load/load_plan_state.hpp
@@ -67,8 +67,8 @@
 auto limit_binds(const load_plan_state &state, time_point now) -> bool;
 
 /// Applies a datagram of a plan. Datagrams of a plan older than the latest one
-/// from `from` are ignored, unless the latest is older than a second: then
-/// `from` was restarted. Returns whether the datagram was applied.
+/// from `from` are ignored, see `is_outdated`. Returns whether the datagram was
+/// applied.
 /// Precondition: this balancer elects `from` as its coordinator.
 auto apply_plan(load_plan_state &state, std::uint32_t from,
                 const load_plan &plan, time_point now) -> bool;
--- /dev/null
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -0,0 +1,385 @@
+#include "carried/load/load_planning.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "carried/admission/allocation.hpp"
+#include "carried/load/spill.hpp"
+
+namespace dogwoodtrack::carried {
+
+namespace {
+
+/// Weight of one interval in the smoothed rates. At 125 openings an interval
+/// their number varies by 9%, the smoothed one by 5%.
+constexpr float rate_weight = 0.5F;
+constexpr float service_time_weight = 0.3F;
+/// Number of openings without an answer after which an upstream counts as
+/// silent. A single one may have been lost.
+constexpr std::uint32_t silent_openings = 2;
+/// An upstream no longer counts as silent if it left no opening unanswered for
+/// this time: longer than each balancer avoids it after one.
+constexpr milliseconds silence_memory{3'000};
+/// Speeds outside this range count as a constraint.
+constexpr float min_usual_speed = 0.8F;
+constexpr float max_usual_speed = 1.25F;
+/// Relative change of a speed after which the entry is sent again soon.
+constexpr float sent_speed_change = 0.05F;
+/// Rates are not smoothed after this time without a plan.
+constexpr milliseconds max_smoothing_gap{1'000};
+
+/// Load at the upstreams of one service, from reports.
+struct upstream_sums {
+    std::vector<upstream_load> upstreams; ///< of all failure domains
+    limit_sample own;                     ///< at upstreams of the own domain
+    float own_answers_ms = 0;             ///< sum over `own.answers`
+    float other_answers = 0;    ///< of upstreams of other failure domains
+    float other_answers_ms = 0; ///< sum over `other_answers`
+};
+using service_sums = std::map<service_key, upstream_sums>;
+
+/// What the configuration says about a service.
+struct service_routes {
+    milliseconds target_latency{0}; ///< shortest one of its routes
+    float bytes = 0; ///< sum of the routes' mean sizes, weighted by `weight`
+    float weight = 0;
+};
+
+auto mix(float old_value, float new_value, float weight) -> float {
+    return old_value + weight * (new_value - old_value);
+}
+
+auto add_route(service_routes &to, const route_spec &route,
+               const flow_table &flows) -> void {
+    if (route.target_latency > milliseconds{0} &&
+        (to.target_latency == milliseconds{0} ||
+         route.target_latency < to.target_latency))
+        to.target_latency = route.target_latency;
+    const auto profile = flows.profiles.find(route.address);
+    if (profile == flows.profiles.end())
+        return;
+    // Counts of responses reflect how often the routes are used.
+    const auto weight = static_cast<float>(profile->second.samples);
+    to.bytes += profile->second.bytes * weight;
+    to.weight += weight;
+}
+
+auto find_services(const planning_input &input)
+    -> std::map<service_key, service_routes> {
+    std::map<service_key, service_routes> services;
+    for (const auto &route : input.in_force.routes) {
+        for (const auto &share : route.services)
+            add_route(services[share.service], route, input.flows);
+    }
+    return services;
+}
+
+auto sum_upstreams(const summed_load &sum, const planning_input &input)
+    -> service_sums {
+    service_sums sums;
+    for (const auto &[code, load] : sum.upstreams) {
+        const auto index = index_by_code(input.upstreams, code);
+        if (index == no_upstream)
+            continue;
+        const auto &record = input.upstreams.all[index].record;
+        auto &to = sums[record.service];
+        to.upstreams.push_back(load);
+        const auto answers = static_cast<float>(load.answers);
+        if (record.failure_domain != input.failure_domain) {
+            to.other_answers += answers;
+            to.other_answers_ms += load.service_ms * answers;
+            continue;
+        }
+        to.own.in_flight += static_cast<float>(load.in_flight);
+        to.own.answers += load.answers;
+        to.own.rejections += load.rejections;
+        to.own_answers_ms += load.service_ms * answers;
+    }
+    return sums;
+}
+
+auto update_silence(load_planner &it, const summed_load &sum, time_point now)
+    -> void {
+    for (const auto &[code, openings] : sum.unanswered) {
+        auto &known = it.silent[code];
+        known.openings += openings;
+        known.last = now;
+    }
+    boost::unordered::erase_if(it.silent, [&](const auto &entry) {
+        const auto load = sum.upstreams.find(entry.first);
+        return now - entry.second.last >= silence_memory ||
+               (load != sum.upstreams.end() &&
+                load->second.answers + load->second.rejections > 0);
+    });
+}
+
+auto is_usable(const load_planner &it, const upstream &one, time_point now)
+    -> bool {
+    if (one.death != upstream_death::none || is_ejected(one, now))
+        return false;
+    const auto silent = it.silent.find(one.code);
+    return silent == it.silent.end() ||
+           silent->second.openings < silent_openings;
+}
+
+// Slots of the own domain's upstreams that new flows can be placed on.
+auto count_slots(const load_planner &it, service_key service,
+                 const planning_input &input, time_point now) -> float {
+    const auto found = input.upstreams.placeable.find(service);
+    if (found == input.upstreams.placeable.end())
+        return 0;
+    float slots = 0;
+    for (const auto index : found->second) {
+        const auto &one = input.upstreams.all[index];
+        if (one.record.failure_domain == input.failure_domain &&
+            is_usable(it, one, now))
+            slots += static_cast<float>(one.record.slots);
+    }
+    return slots;
+}
+
+// Time since the previous plans.
+auto interval_until(const load_planner &it, time_point now) -> milliseconds {
+    if (it.last_planned == time_point{})
+        return max_smoothing_gap;
+    return std::chrono::duration_cast<milliseconds>(now - it.last_planned);
+}
+
+auto learn_rates(coordinated_service &it, const summed_service &rates,
+                 milliseconds interval) -> void {
+    const auto weight = interval >= max_smoothing_gap ? 1 : rate_weight;
+    for (std::size_t i = 0; i < priority_count; ++i)
+        it.openings[i] = mix(it.openings[i], rates.openings[i], weight);
+    it.requests = mix(it.requests, rates.requests, weight);
+}
+
+// The answers of other domains count while there are none of the own one, for
+// example during its evacuation.
+auto learn_service_time(coordinated_service &it, const upstream_sums &sums)
+    -> void {
+    const auto has_own = sums.own.answers > 0;
+    const auto answers =
+        has_own ? static_cast<float>(sums.own.answers) : sums.other_answers;
+    if (answers == 0)
+        return;
+    const auto mean =
+        (has_own ? sums.own_answers_ms : sums.other_answers_ms) / answers;
+    it.service_ms = it.service_ms == 0
+                        ? mean
+                        : mix(it.service_ms, mean, service_time_weight);
+}
+
+// Time that a request takes at an upstream without queueing; 0 while unknown.
+auto baseline_ms(const coordinated_service &it) -> float {
+    return it.limit.baseline_ms > 0 ? it.limit.baseline_ms : it.service_ms;
+}
+
+auto sum_of(const std::array<float, priority_count> &values) -> float {
+    float sum = 0;
+    for (const auto value : values)
+        sum += value;
+    return sum;
+}
+
+auto is_cut_off(const planning_input &input, std::uint32_t domain) -> bool {
+    return std::find(input.unreachable_domains.begin(),
+                     input.unreachable_domains.end(),
+                     domain) != input.unreachable_domains.end();
+}
+
+auto spill_targets(service_key service, const planning_input &input,
+                   time_point now) -> std::vector<spill_target> {
+    std::vector<spill_target> targets;
+    for (const auto &[domain, known] : input.domains.domains) {
+        for (const auto &one : known.loads) {
+            if (one.load.service != service)
+                continue;
+            targets.push_back(
+                {.load = one.load,
+                 .age = std::chrono::ceil<milliseconds>(now - one.received),
+                 .round_trip = milliseconds{static_cast<std::int64_t>(
+                     std::ceil(known.round_trip_ms))},
+                 .reachable = !is_cut_off(input, domain)});
+        }
+    }
+    std::sort(targets.begin(), targets.end(), [](const auto &a, const auto &b) {
+        return a.load.failure_domain < b.load.failure_domain;
+    });
+    return targets;
+}
+
+// This domain's part of what other domains leave free. Domains without
+// upstreams share it.
+auto free_elsewhere(const std::vector<spill_target> &targets) -> float {
+    float free = 0;
+    float sharing = 1;
+    for (const auto &one : targets) {
+        if (!one.reachable || one.age >= domain_load_lifetime)
+            continue;
+        free += std::max(0.0F, one.load.limit - one.load.demand);
+        sharing += one.load.limit <= 0 ? 1 : 0;
+    }
+    return free / sharing;
+}
+
+auto spill(const coordinated_service &it,
+           const std::vector<spill_target> &targets,
+           const service_routes &routes, const planning_input &input,
+           milliseconds interval) -> std::vector<spill_share> {
+    constexpr float bytes_per_kib = 1'024;
+    const auto bytes = routes.weight > 0 ? routes.bytes / routes.weight : 0;
+    return compute_spill({.own = it.load,
+                          .others = targets,
+                          .previous = it.plan.spill,
+                          .price_ms_per_kib = input.price_ms_per_kib,
+                          .request_kib = bytes / bytes_per_kib,
+                          .target_latency = routes.target_latency,
+                          .interval = interval});
+}
+
+auto admit(const coordinated_service &it, const planning_input &input,
+           const std::vector<spill_target> &targets, float slots)
+    -> std::array<float, priority_count> {
+    const auto has_upstreams = slots > 0;
+    if (baseline_ms(it) <= 0 || (has_upstreams && it.limit.limit <= 0) ||
+        (!has_upstreams && targets.empty()))
+        return {1, 1, 1, 1};
+    const auto limit = has_upstreams ? it.limit.limit : free_elsewhere(targets);
+    allocation_input wanted{.limit = limit * input.limit_part,
+                            .established = it.requests * baseline_ms(it),
+                            .min_share = input.min_share};
+    for (std::size_t i = 0; i < priority_count; ++i)
+        wanted.demand[i] = it.openings[i] * baseline_ms(it);
+    float share = 0;
+    for (const auto &one : it.plan.spill)
+        share += one.share;
+    // Without upstreams in the domain, the limit is that of the others already.
+    if (has_upstreams)
+        wanted.spilled = share * sum_of(wanted.demand);
+    return allocate_admission(wanted);
+}
+
+auto plan_service(load_planner &planner, service_key service,
+                  const service_routes &routes, const summed_load &sum,
+                  upstream_sums &sums, const planning_input &input,
+                  time_point now) -> void {
+    auto &it = planner.services[service];
+    const auto interval = interval_until(planner, now);
+    const auto rates = sum.services.find(service);
+    learn_rates(it,
+                rates == sum.services.end() ? summed_service{} : rates->second,
+                interval);
+    learn_service_time(it, sums);
+    auto sample = sums.own;
+    sample.slots = count_slots(planner, service, input, now);
+    sample.in_flight += placed_by_others(input.domains, service);
+    sample.service_ms =
+        sample.answers > 0
+            ? sums.own_answers_ms / static_cast<float>(sample.answers)
+            : 0;
+    sample.target_latency = routes.target_latency;
+    sample.interval = interval;
+    const auto limit = update_limit(it.limit, sample, now);
+    it.load = {.service = service,
+               .failure_domain = input.failure_domain,
+               .limit = sample.slots > 0 ? limit : 0,
+               .in_flight = sample.in_flight,
+               .demand = (sum_of(it.openings) + it.requests) * baseline_ms(it),
+               .service_ms = it.service_ms};
+    const auto targets = spill_targets(service, input, now);
+    it.plan.service = service;
+    it.plan.spill = spill(it, targets, routes, input, interval);
+    it.plan.admit = admit(it, input, targets, sample.slots);
+    it.plan.upstreams = compute_speeds(it.speeds, sums.upstreams, interval);
+    it.plan.limit = it.load.limit;
+    it.plan.in_flight = it.load.in_flight;
+    it.plan.demand = it.load.demand;
+}
+
+auto has_changed(const sent_upstream &sent, const upstream_plan &now) -> bool {
+    return sent.plan.limit != now.limit ||
+           std::abs(sent.plan.speed - now.speed) >
+               sent_speed_change * sent.plan.speed;
+}
+
+} // namespace
+
+auto compute_plans(load_planner &it, const summed_load &sum,
+                   const planning_input &input, time_point now) -> void {
+    const auto services = find_services(input);
+    boost::unordered::erase_if(it.services, [&](const auto &entry) {
+        return !services.contains(entry.first);
+    });
+    update_silence(it, sum, now);
+    auto sums = sum_upstreams(sum, input);
+    for (const auto &[service, routes] : services)
+        plan_service(it, service, routes, sum, sums[service], input, now);
+    it.last_planned = now;
+}
+
+auto is_binding(const service_plan &plan) -> bool {
+    return std::any_of(plan.admit.begin(), plan.admit.end(),
+                       [](float part) { return part < 1; }) ||
+           std::any_of(plan.spill.begin(), plan.spill.end(),
+                       [](const auto &one) { return one.share > 0; }) ||
+           std::any_of(plan.upstreams.begin(), plan.upstreams.end(),
+                       [](const auto &one) {
+                           return one.speed < min_usual_speed ||
+                                  one.speed > max_usual_speed;
+                       });
+}
+
+auto is_binding(const load_planner &it) -> bool {
+    return std::any_of(
+        it.services.begin(), it.services.end(),
+        [](const auto &entry) { return is_binding(entry.second.plan); });
+}
+
+auto make_plan(load_planner &it) -> load_plan {
+    load_plan plan{.sequence = ++it.sequence, .services = {}};
+    for (const auto &[service, one] : it.services)
+        plan.services.push_back(one.plan);
+    return plan;
+}
+
+auto select_upstreams(load_planner &it, load_plan &plan, time_point now)
+    -> void {
+    struct candidate {
+        service_plan *service;
+        upstream_plan upstream;
+        bool changed;
+        time_point sent;
+    };
+    std::vector<candidate> all;
+    for (auto &service : plan.services) {
+        for (const auto &one : std::exchange(service.upstreams, {})) {
+            const auto sent = it.sent.find(one.code);
+            const auto is_new = sent == it.sent.end();
+            all.push_back({.service = &service,
+                           .upstream = one,
+                           .changed = is_new || has_changed(sent->second, one),
+                           .sent = is_new ? time_point{} : sent->second.sent});
+        }
+    }
+    const auto count = std::min(all.size(), max_sent_upstreams);
+    std::partial_sort(
+        all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count),
+        all.end(), [](const auto &a, const auto &b) {
+            return a.changed != b.changed ? a.changed : a.sent < b.sent;
+        });
+    boost::unordered_flat_map<std::uint32_t, sent_upstream> sent;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const auto &one = all[i];
+        const auto known = it.sent.find(one.upstream.code);
+        if (i < count) {
+            one.service->upstreams.push_back(one.upstream);
+            sent[one.upstream.code] = {.plan = one.upstream, .sent = now};
+        } else if (known != it.sent.end()) {
+            sent[one.upstream.code] = known->second;
+        }
+    }
+    it.sent = std::move(sent);
+}
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -168,6 +168,25 @@
     return leader->address;
 }
 
+auto elect_in_domain(const fleet &members, const domain_task &task,
+                     time_point now) -> std::uint32_t {
+    const auto is_own = task.failure_domain == members.self.failure_domain;
+    const auto *leader =
+        is_own && !members.self.leaving ? &members.self : nullptr;
+    for (const auto &[address, member] : members.others) {
+        if (member.failure_domain != task.failure_domain || member.leaving ||
+            !is_live(members, member, now) ||
+            std::find(task.skipped.begin(), task.skipped.end(), address) !=
+                task.skipped.end())
+            continue;
+        if (leader == nullptr || comes_before(member, *leader, task.purpose))
+            leader = &member;
+    }
+    if (leader != nullptr)
+        return leader->address;
+    return is_own ? members.self.address : 0;
+}
+
 auto is_active_in_own_domain(const fleet &members, const fleet_member &member,
                              time_point now) -> bool {
     return member.failure_domain == members.self.failure_domain &&
--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <random>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -105,6 +106,21 @@
 auto domain_leader(const fleet &members, std::uint64_t purpose, time_point now)
     -> std::uint32_t;
 
+/// A task for which a balancer of a failure domain is elected.
+struct domain_task {
+    std::uint32_t failure_domain = 0;
+    std::uint64_t purpose = 0; ///< as in `domain_leader`
+    /// Addresses of balancers that are not elected.
+    std::span<const std::uint32_t> skipped;
+};
+
+/// Address of the balancer that is elected for a task of any failure domain, in
+/// the order of `domain_leader`. The candidates are the domain's balancers that
+/// are live, not leaving and not skipped. Without a candidate, returns the own
+/// address if the domain is the own one, otherwise 0.
+auto elect_in_domain(const fleet &members, const domain_task &task,
+                     time_point now) -> std::uint32_t;
+
 /// Whether the member is live, in the own failure domain and not leaving.
 auto is_active_in_own_domain(const fleet &members, const fleet_member &member,
                              time_point now) -> bool;
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "carried/load/load_metrics.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
 
@@ -89,7 +90,8 @@
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
-    return fmt::to_string(out) + metrics.to_prometheus();
+    return fmt::to_string(out) + load_metrics_text(it, now) +
+           metrics.to_prometheus();
 }
 
 auto status_json(const blackboard &it, const std::string &instance,
