--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -5,6 +5,7 @@
 #include "carried/feeds/reassembly.hpp"
 #include "carried/feeds/store.hpp"
 #include "carried/flows/steering.hpp"
+#include "carried/load/load_exchange_state.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/members/probes.hpp"
 
@@ -100,6 +101,7 @@
     /// `set_evacuate_within`.
     milliseconds evacuate_within{0};
     evacuation_state evacuations;
+    load_exchange_state load;
 };
 
 auto version_of(blackboard &board, feed what) -> feed_version &;
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "carried/flows/flows.hpp"
+#include "carried/load/load_plan_state.hpp"
 #include "carried/upstreams/upstream_selection.hpp"
 
 namespace dogwoodtrack::carried {
@@ -69,6 +70,8 @@
     /// Whether the evacuated failure domains are known, or not used. No flow is
     /// placed before.
     bool evacuations_known = true;
+    /// Plans of the load coordinator, see `plan_for`.
+    load_plan_state plans;
 };
 
 /// Decides about one packet of a caller and updates the packet's flow.
