--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -101,6 +101,11 @@
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
         ->check(CLI::Range(100.0, 3'600'000.0));
+    add("--domain-traffic-price", it.balancer.domain_traffic_price,
+        "DOMAIN_TRAFFIC_PRICE",
+        "Cost of one KiB that crosses between failure domains, in milliseconds "
+        "of a caller's waiting time; 0 if it costs nothing")
+        ->check(CLI::Range(0.0, 1'000'000.0));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -96,3 +96,14 @@
         CHECK_FALSE(settings.error().detail.empty());
     }
 }
+
+// Guards against a price that a typing error has made negative, which would
+// send every flow away from its failure domain.
+TEST_CASE("the price of traffic between failure domains is at least 0") {
+    CHECK(read(required_settings).value().balancer.domain_traffic_price ==
+          0.5F);
+    const auto dear = read(required_settings + "domain-traffic-price = 12.5\n");
+    REQUIRE(dear);
+    CHECK(dear.value().balancer.domain_traffic_price == 12.5F);
+    CHECK_FALSE(read(required_settings + "domain-traffic-price = -1\n"));
+}
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -282,6 +282,7 @@
     constexpr double max_capacity = 60'000;
     it.apply_within = options.apply_within;
     it.steering.flows.limit = options.flow_capacity;
+    it.domain_traffic_price = options.domain_traffic_price;
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
     it.members.seeds.clear();
@@ -314,6 +315,7 @@
     it.options.flow_capacity = next.flow_capacity;
     it.options.cores = next.cores;
     it.options.seeds = next.seeds;
+    it.options.domain_traffic_price = next.domain_traffic_price;
     configure_board(it.state, it.options);
     const auto restart = next.link != it.options.link ||
                          next.peers != it.options.peers ||
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -55,6 +55,9 @@
     std::size_t flow_capacity = 50'000; ///< maximum number of tracked flows
     milliseconds stop_deadline{5'000};  ///< maximum duration of a planned stop
     milliseconds flow_lifetime{60'000}; ///< expected maximum duration of a flow
+    /// Cost of one KiB that crosses between failure domains, in milliseconds of
+    /// a caller's waiting time; see `spill_input`.
+    float domain_traffic_price = 0.5F;
     /// Returns the settings if they have changed since the last call and are
     /// valid. Called about once per second. An empty function means that
     /// settings are never reloaded.
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -35,7 +35,8 @@
     const new_flow wanted{.service = service,
                           .kind = route.kind,
                           .excluded =
-                              known == nullptr ? no_upstream : known->to};
+                              known == nullptr ? no_upstream : known->to,
+                          .plan = plan_for(state.plans, service, now)};
     const auto to =
         choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream)
@@ -186,9 +187,11 @@
         record_unanswered(silent, now);
     // The flow is treated as non-idempotent, so that the retry does not become
     // the trial flow of an upstream on probation.
-    const new_flow wanted{.service = silent.record.service,
+    const auto service = silent.record.service;
+    const new_flow wanted{.service = service,
                           .kind = request_kind::non_idempotent,
-                          .excluded = known->to};
+                          .excluded = known->to,
+                          .plan = plan_for(state.plans, service, now)};
     const auto to =
         choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream || to == known->to)
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "carried/flows/flows.hpp"
+#include "carried/load/load_plan_state.hpp"
 #include "carried/upstreams/upstream_selection.hpp"
 
 namespace dogwoodtrack::carried {
@@ -65,6 +66,7 @@
     /// Failure domains from which the flows of other balancers of the own
     /// domain get no answers, as those balancers report.
     std::vector<std::uint32_t> reported_unresponsive;
+    load_plan_state plans; ///< empty unless load plans are exchanged
 };
 
 /// Decides about one packet of a caller and updates the packet's flow.
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -1,12 +1,15 @@
 #include "carried/report.hpp"
 
+#include <algorithm>
 #include <array>
 #include <iterator>
 
 #include <fmt/format.h>
 
+#include "carried/load/spill_report.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
+#include "carried/upstreams/upstream_speeds.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -53,6 +56,45 @@
                        age_ms(it.versions[i].confirmed, now));
 }
 
+// Services that routes of the configuration in force name, without repetition.
+auto services_in_force(const steering_state &it) -> std::vector<service_key> {
+    std::vector<service_key> services;
+    if (it.in_force) {
+        for (const auto &route : it.in_force->routes) {
+            for (const auto &one : route.services)
+                services.push_back(one.service);
+        }
+    }
+    std::sort(services.begin(), services.end());
+    services.erase(std::unique(services.begin(), services.end()),
+                   services.end());
+    return services;
+}
+
+// Spill shares of the plans in use, and upstreams that these plans call slow.
+// Series exist only for domains that receive a share of some service.
+auto write_plans(buffer &out, const steering_state &it, time_point now)
+    -> void {
+    std::vector<const service_plan *> plans;
+    std::uint64_t slow = 0;
+    for (const auto service : services_in_force(it)) {
+        const auto *plan = plan_for(it.plans, service, now);
+        if (plan == nullptr)
+            continue;
+        plans.push_back(plan);
+        slow += static_cast<std::uint64_t>(std::count_if(
+            plan->upstreams.begin(), plan->upstreams.end(),
+            [](const auto &one) { return one.speed < slow_speed; }));
+    }
+    write_gauge(out, "slow_upstreams", slow);
+    fmt::format_to(std::back_inserter(out),
+                   "# TYPE dogwoodtrack_spill_share gauge\n");
+    for (const auto &one : mean_shares(plans))
+        fmt::format_to(std::back_inserter(out),
+                       "dogwoodtrack_spill_share{{domain=\"{:08x}\"}} {:.4f}\n",
+                       one.failure_domain, one.share);
+}
+
 auto write_upstream(buffer &out, const upstream &it, time_point now) -> void {
     fmt::format_to(
         std::back_inserter(out),
@@ -89,6 +131,7 @@
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
+    write_plans(out, it.steering, now);
     return fmt::to_string(out) + metrics.to_prometheus();
 }
 
--- a/src/libdogwoodtrack/carried/report.hpp
+++ b/src/libdogwoodtrack/carried/report.hpp
@@ -8,8 +8,9 @@
 namespace dogwoodtrack::carried {
 
 /// Counters, gauges and histograms in the Prometheus text format. Apart from
-/// the bounds of histogram buckets, the only labels are reasons of refusals and
-/// names of feeds, so the number of series is bounded.
+/// the bounds of histogram buckets, the only labels are reasons of refusals,
+/// names of feeds and failure domains that receive a spill share, so the number
+/// of series is bounded.
 auto metrics_text(const blackboard &it, const metric_set &metrics,
                   time_point now) -> std::string;
 
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -1,6 +1,7 @@
 #include "carried/upstreams/upstream_selection.hpp"
 
 #include "carried/upstreams/outlier_ejection.hpp"
+#include "carried/upstreams/planned_selection.hpp"
 
 #include <algorithm>
 
@@ -20,8 +21,6 @@
 /// factor, then increased by this offset.
 constexpr float other_domain_load_factor = 1.6F;
 constexpr float other_domain_load_offset = 0.34F;
-/// Load factor of an upstream that has just started and is therefore slower.
-constexpr float cold_load_factor = 1.6F;
 /// Limits of an upstream's speed relative to the mean of all upstreams of its
 /// service.
 constexpr float min_speed = 0.15F;
@@ -102,10 +101,8 @@
     }
 };
 
-} // namespace
-
-auto choose_upstream(upstream_table &table, const new_flow &wanted,
-                     const domain_position &position, time_point now)
+auto choose_by_walk(const upstream_table &table, const new_flow &wanted,
+                    const domain_position &position, time_point now)
     -> upstream_index {
     const auto found = table.placeable.find(wanted.service);
     if (found == table.placeable.end() || found->second.empty())
@@ -120,15 +117,35 @@
         const auto index = list[(start + i) % list.size()];
         const auto &it = table.all[index];
         const auto load = load_after_placing(it, position, mean_ms, now);
-        if (index == wanted.excluded || it.death == upstream_death::cut_off ||
-            (is_avoided(it, now) && !may_send_trial(it, wanted.kind, now)))
+        if (!is_candidate(it, index, wanted, now))
             fallback.offer(index, load);
         else if (is_on_probation(it, now))
             best.offer(index, load * trial_load_factor);
         else
             best.offer(index, load);
     }
-    const auto chosen = best.index == no_upstream ? fallback.index : best.index;
+    return best.index == no_upstream ? fallback.index : best.index;
+}
+
+} // namespace
+
+auto is_candidate(const upstream &it, upstream_index index,
+                  const new_flow &wanted, time_point now) -> bool {
+    return index != wanted.excluded && it.death != upstream_death::cut_off &&
+           (!is_avoided(it, now) || may_send_trial(it, wanted.kind, now));
+}
+
+auto choose_upstream(upstream_table &table, const new_flow &wanted,
+                     const domain_position &position, time_point now)
+    -> upstream_index {
+    auto chosen = no_upstream;
+    if (wanted.plan != nullptr)
+        chosen = choose_planned_upstream(table, wanted, *wanted.plan, position,
+                                         now);
+    if (chosen == no_upstream)
+        chosen = choose_by_walk(table, wanted, position, now);
+    if (chosen == no_upstream)
+        return no_upstream;
     auto &it = table.all[chosen];
     if (is_avoided(it, now))
         it.stats.last_trial = now;
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -23,10 +23,13 @@
     service_key service = 0;
     request_kind kind = request_kind::idempotent;
     upstream_index excluded = no_upstream; ///< chosen only as a last resort
+    /// Load plan of the service, or null: see `choose_planned_upstream`.
+    const service_plan *plan = nullptr;
 };
 
 /// Chooses an upstream for a new flow: the one with the lowest load relative to
-/// its speed. The load of upstreams in other failure domains counts as higher
+/// its speed. With a load plan, `choose_planned_upstream` chooses, and the rules
+/// below apply only if it finds no candidate. The load of upstreams in other failure domains counts as higher
 /// than it is, so that the own domain is preferred. An upstream that left
 /// openings unanswered, is ejected (see `is_ejected`) or is on probation (see
 /// `is_on_probation`) is avoided: unless it is ejected, it now and then gets a
@@ -41,6 +44,14 @@
                      const domain_position &position, time_point now)
     -> upstream_index;
 
+/// Whether the upstream at `index` is neither excluded, cut off, nor avoided. An
+/// avoided upstream is a candidate if it may get a trial flow now.
+auto is_candidate(const upstream &it, upstream_index index,
+                  const new_flow &wanted, time_point now) -> bool;
+
+/// Load factor of an upstream that has just started and is therefore slower.
+inline constexpr float cold_load_factor = 1.6F;
+
 /// Records that an opening sent to this upstream was not answered in time.
 auto record_unanswered(upstream &it, time_point now) -> void;
 
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "carried/feeds/configuration.hpp"
+#include "carried/upstreams/selection_index.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -99,6 +100,10 @@
     time_point state_since{}; ///< last change of `record.state`
     time_point warm_at{};     ///< end of `record.cold_remaining`
     upstream_stats stats;
+    /// Speed and limit of the load plan that flows were last placed by, see
+    /// `upstream_plan`.
+    float planned_speed = 1;
+    std::uint16_t planned_limit = 0; ///< 0 if there is none
 };
 
 /// Index of an upstream in `upstream_table::all`; valid until the upstream is
@@ -140,6 +145,8 @@
     /// Failure domains in which no upstream answers, or silent upstreams
     /// outnumber answering ones.
     std::vector<std::uint32_t> mostly_silent_domains;
+    /// Used by `choose_planned_upstream`.
+    boost::unordered_flat_map<service_key, selection_index> selection;
 };
 
 /// Binding code of an incarnation: the same on every balancer, never 0.
