--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -117,8 +117,9 @@
         "Whether balancers exchange their load and follow common plans");
     add("--domain-traffic-price", it.balancer.domain_traffic_price,
         "DOMAIN_TRAFFIC_PRICE",
-        "Cost of a KiB between failure domains, in milliseconds of waiting")
-        ->check(CLI::Range(0.0, 1e6));
+        "Cost of one KiB that crosses between failure domains, in milliseconds "
+        "of a caller's waiting time; 0 if it costs nothing")
+        ->check(CLI::Range(0.0, 1'000'000.0));
     add("--min-share", it.balancer.min_share, "MIN_SHARE",
         "Part of a service's room that each priority gets at least")
         ->check(CLI::Range(0.0, 0.25));
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -28,6 +28,15 @@
            state.upstreams.all[it.to].stats.last_response > it.opening_sent;
 }
 
+// The load coordinator's plan, or null. A plan that this balancer has derived
+// itself does not say where flows go.
+auto coordinated_plan(const steering_state &state, service_key service,
+                      time_point now) -> const service_plan * {
+    return is_coordinated(state.plans, service, now)
+               ? plan_for(state.plans, service, now)
+               : nullptr;
+}
+
 auto place_flow(steering_state &state, const packet_header &header,
                 const route_spec &route, flow *known, time_point now)
     -> verdict {
@@ -36,7 +45,8 @@
     const new_flow wanted{.service = service,
                           .kind = route.kind,
                           .excluded =
-                              known == nullptr ? no_upstream : known->to};
+                              known == nullptr ? no_upstream : known->to,
+                          .plan = coordinated_plan(state, service, now)};
     const auto to =
         choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream)
@@ -242,9 +252,11 @@
     }
     // The flow is treated as non-idempotent, so that the retry does not become
     // the trial flow of an upstream on probation.
-    const new_flow wanted{.service = silent.record.service,
+    const auto service = silent.record.service;
+    const new_flow wanted{.service = service,
                           .kind = request_kind::non_idempotent,
-                          .excluded = known->to};
+                          .excluded = known->to,
+                          .plan = coordinated_plan(state, service, now)};
     const auto to =
         choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream || to == known->to)
--- a/src/libdogwoodtrack/carried/load/load_planning.cpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -6,6 +6,7 @@
 
 #include "carried/admission/allocation.hpp"
 #include "carried/load/spill.hpp"
+#include "carried/load/spill_report.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -42,27 +43,17 @@
 /// What the configuration says about a service.
 struct service_routes {
     milliseconds target_latency{0}; ///< shortest one of its routes
-    float bytes = 0; ///< sum of the routes' mean sizes, weighted by `weight`
-    float weight = 0;
 };
 
 auto mix(float old_value, float new_value, float weight) -> float {
     return old_value + weight * (new_value - old_value);
 }
 
-auto add_route(service_routes &to, const route_spec &route,
-               const flow_table &flows) -> void {
+auto add_route(service_routes &to, const route_spec &route) -> void {
     if (route.target_latency > milliseconds{0} &&
         (to.target_latency == milliseconds{0} ||
          route.target_latency < to.target_latency))
         to.target_latency = route.target_latency;
-    const auto profile = flows.profiles.find(route.address);
-    if (profile == flows.profiles.end())
-        return;
-    // Counts of responses reflect how often the routes are used.
-    const auto weight = static_cast<float>(profile->second.samples);
-    to.bytes += profile->second.bytes * weight;
-    to.weight += weight;
 }
 
 auto find_services(const planning_input &input)
@@ -70,7 +61,7 @@
     std::map<service_key, service_routes> services;
     for (const auto &route : input.in_force.routes) {
         for (const auto &share : route.services)
-            add_route(services[share.service], route, input.flows);
+            add_route(services[share.service], route);
     }
     return services;
 }
@@ -200,7 +191,8 @@
                  .age = std::chrono::ceil<milliseconds>(now - one.received),
                  .round_trip = milliseconds{static_cast<std::int64_t>(
                      std::ceil(known.round_trip_ms))},
-                 .reachable = !is_cut_off(input, domain)});
+                 .reachable = !is_cut_off(input, domain),
+                 .evacuated = is_evacuated(input.upstreams, domain)});
         }
     }
     std::sort(targets.begin(), targets.end(), [](const auto &a, const auto &b) {
@@ -223,19 +215,20 @@
     return free / sharing;
 }
 
-auto spill(const coordinated_service &it,
-           const std::vector<spill_target> &targets,
+auto spill(coordinated_service &it, const std::vector<spill_target> &targets,
            const service_routes &routes, const planning_input &input,
            milliseconds interval) -> std::vector<spill_share> {
-    constexpr float bytes_per_kib = 1'024;
-    const auto bytes = routes.weight > 0 ? routes.bytes / routes.weight : 0;
-    return compute_spill({.own = it.load,
-                          .others = targets,
-                          .previous = it.plan.spill,
-                          .price_ms_per_kib = input.price_ms_per_kib,
-                          .request_kib = bytes / bytes_per_kib,
-                          .target_latency = routes.target_latency,
-                          .interval = interval});
+    const spill_input wanted{.own = it.load,
+                             .others = targets,
+                             .previous = it.plan.spill,
+                             .price_ms_per_kib = input.price_ms_per_kib,
+                             .request_kib = mean_request_kib(
+                                 input.flows, input.in_force, it.load.service),
+                             .target_latency = routes.target_latency,
+                             .interval = interval};
+    auto shares = compute_spill(wanted);
+    log_spill_changes(wanted, it.logged_spill, shares);
+    return shares;
 }
 
 auto admit(const coordinated_service &it, const planning_input &input,
@@ -291,7 +284,10 @@
     it.plan.service = service;
     it.plan.spill = spill(it, targets, routes, input, interval);
     it.plan.admit = admit(it, input, targets, sample.slots);
+    it.speeds.target_latency = routes.target_latency;
+    track_upstreams(it.speeds, input.upstreams, service);
     it.plan.upstreams = compute_speeds(it.speeds, sums.upstreams, interval);
+    log_speed_changes(it.speeds, input.upstreams);
     it.plan.limit = it.load.limit;
     it.plan.in_flight = it.load.in_flight;
     it.plan.demand = it.load.demand;
--- a/src/libdogwoodtrack/carried/load/load_planning.hpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.hpp
@@ -20,6 +20,8 @@
     float service_ms = 0; ///< smoothed mean of the answers
     domain_load load;     ///< of the own domain
     service_plan plan;    ///< with all upstreams
+    /// Spill shares of the last event `spill_changed`.
+    std::vector<spill_share> logged_spill;
 };
 
 /// Openings that an upstream left unanswered since its last answer to any
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -8,6 +8,7 @@
 
 #include "carried/feeds/configuration.hpp"
 #include "carried/quota/cold_usage.hpp"
+#include "carried/upstreams/selection_index.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -103,6 +104,10 @@
     time_point warm_at{};     ///< end of `record.cold_remaining`
     upstream_stats stats;
     cold_usage cold;
+    /// Speed and limit of the load plan that flows were last placed by, see
+    /// `upstream_plan`.
+    float planned_speed = 1;
+    std::uint16_t planned_limit = 0; ///< 0 if there is none
 };
 
 /// Index of an upstream in `upstream_table::all`; valid until the upstream is
@@ -149,6 +154,8 @@
     /// Number of upstreams of each service with `upstream::withheld`.
     boost::unordered_flat_map<service_key, std::uint32_t> withheld;
     cold_quota cold; ///< limits of cold upstreams
+    /// Used by `choose_planned_upstream`.
+    boost::unordered_flat_map<service_key, selection_index> selection;
 };
 
 /// Binding code of an incarnation: the same on every balancer, never 0.
