--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -101,6 +101,12 @@
         "Milliseconds within which an upstream that leaves must stop "
         "receiving new flows")
         ->check(CLI::Range(100.0, 3'600'000.0));
+    add("--admission", it.balancer.admission, "ADMISSION",
+        "Whether new flows are limited when capacity is short; requires "
+        "load-plans");
+    add("--min-share", it.balancer.min_share, "MIN_SHARE",
+        "Part of the room for new flows that each priority gets at least")
+        ->check(CLI::Range(0.0, 0.25));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
         ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -78,6 +78,7 @@
     CHECK(it.seeds.empty());
     CHECK(it.operators.port == 0);
     CHECK_FALSE(it.first_start);
+    CHECK_FALSE(it.admission);
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
@@ -85,7 +86,8 @@
     for (const std::string line :
          {"stop-deadline = -1", "stop-deadline = soon", "flow-lifetime = 0",
           "apply-within-ms = 99", "drain-within-ms = 1e9", "link = \"a:b\"",
-          "no-such-setting = 1", "link ="}) {
+          "no-such-setting = 1", "link =", "admission = maybe",
+          "min-share = 0.5"}) {
         CAPTURE(line);
         auto content = required_settings;
         if (line.starts_with("link"))
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
@@ -1,11 +1,179 @@
 #include "carried/admission/adaptive_limit.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace dogwoodtrack::carried {
 
+namespace {
+
+/// Part of the target latency that requests may wait for a slot. The queue of
+/// openings takes up to another quarter, so half remains for processing.
+constexpr float queueing_fraction = 0.25F;
+/// Concurrent requests per slot before anything is known: one is processed and
+/// one waits, so that a slot has work when it becomes free.
+constexpr float initial_room = 2;
+/// Upstreams of two slots without a queue reject requests at a mean load of
+/// about half of their slots, because balancers do not know each other's flows.
+constexpr float min_room = 0.5F;
+/// Larger queues at upstreams do not increase throughput.
+constexpr float max_room = 4;
+/// The bound that the target latency sets is at least this, because slots must
+/// be kept busy.
+constexpr float min_room_bound = 1.25F;
+/// Part of the requests that upstreams may reject without a reduction. The
+/// target is at most 5%.
+constexpr float tolerated_rejections = 0.02F;
+/// Bounds of a single reduction.
+constexpr float min_cut = 0.05F;
+constexpr float max_cut = 0.3F;
+/// A reduction shows in the next plan's reports at the earliest, so a second
+/// one within this time would answer the same overload twice.
+constexpr milliseconds reduction_interval{450};
+/// Samples with fewer outcomes are too noisy to judge by.
+constexpr std::uint32_t min_outcomes = 10;
+/// Rejections below this part of the slots or limit are failures, not overload.
+constexpr float busy_fraction = 0.5F;
+/// The limit counts as reached from this part of it on.
+constexpr float reached_fraction = 0.7F;
+/// The room returns quickly to this part of the ceiling and probes from there.
+constexpr float safe_fraction = 0.95F;
+constexpr float recovery_s = 0.5F;
+/// Growth of the room per second beyond the safe part of the ceiling.
+constexpr float probing_per_s = 0.1F;
+/// Growth per second towards `initial_room` while the limit is not reached.
+constexpr float idle_growth_per_s = 0.02F;
+/// Time constant of the baseline's fall, and its relative rise per second. A
+/// rise may come from queueing, a fall cannot.
+constexpr float baseline_fall_s = 0.5F;
+constexpr float baseline_rise_per_s = 0.05F;
+constexpr float max_interval_s = 2;
+
+auto is_quantity(float value) -> bool {
+    return std::isfinite(value) && value >= 0;
+}
+
+auto interval_s(const limit_sample &sample) -> float {
+    const auto s = std::chrono::duration<float>(sample.interval).count();
+    return std::clamp(s, 0.0F, max_interval_s);
+}
+
+auto has_outcomes(const limit_sample &sample) -> bool {
+    return std::uint64_t{sample.answers} + sample.rejections >= min_outcomes;
+}
+
+// Both the mean response time and the time that all slots together spend per
+// answer are upper bounds of the service time: the first includes queueing, the
+// second idle slots. The second one holds under overload, when every response
+// has waited.
+auto service_time_bound(const adaptive_limit &it, const limit_sample &sample)
+    -> float {
+    const auto slots = std::max(sample.slots, it.slots);
+    const auto per_answer = slots *
+                            static_cast<float>(sample.interval.count()) /
+                            static_cast<float>(sample.answers);
+    return per_answer > 0 ? std::min(sample.service_ms, per_answer)
+                          : sample.service_ms;
+}
+
+auto update_baseline(adaptive_limit &it, const limit_sample &sample) -> void {
+    if (sample.answers < min_outcomes || sample.service_ms <= 0)
+        return;
+    const auto bound = service_time_bound(it, sample);
+    const auto s = interval_s(sample);
+    if (it.baseline_ms <= 0)
+        it.baseline_ms = bound;
+    else if (bound < it.baseline_ms)
+        it.baseline_ms +=
+            (bound - it.baseline_ms) * (1 - std::exp(-s / baseline_fall_s));
+    else
+        it.baseline_ms =
+            std::min(bound, it.baseline_ms * (1 + baseline_rise_per_s * s));
+}
+
+auto queueing_allowance_ms(const limit_sample &sample) -> float {
+    return queueing_fraction *
+           static_cast<float>(sample.target_latency.count());
+}
+
+auto room_bound(const adaptive_limit &it, const limit_sample &sample) -> float {
+    if (it.baseline_ms <= 0 || sample.target_latency <= milliseconds{0})
+        return initial_room;
+    return std::clamp(1 + queueing_allowance_ms(sample) / it.baseline_ms,
+                      min_room_bound, max_room);
+}
+
+// Part by which the room has to be reduced, 0 without signs of overload.
+auto required_cut(const adaptive_limit &it, const limit_sample &sample,
+                  float in_flight) -> float {
+    if (!has_outcomes(sample) ||
+        in_flight < busy_fraction * std::min(sample.slots, it.limit))
+        return 0;
+    const auto total = static_cast<float>(sample.answers) +
+                       static_cast<float>(sample.rejections);
+    const auto rejected = static_cast<float>(sample.rejections) / total;
+    if (rejected > tolerated_rejections)
+        return std::clamp(rejected, min_cut, max_cut);
+    const auto allowed_ms = it.baseline_ms + queueing_allowance_ms(sample);
+    // Without a full set of slots, slow answers are not a sign of queueing.
+    if (sample.target_latency <= milliseconds{0} || in_flight < sample.slots ||
+        sample.service_ms <= allowed_ms)
+        return 0;
+    return std::clamp(1 - allowed_ms / sample.service_ms, min_cut, max_cut);
+}
+
+auto reduce(adaptive_limit &it, float cut, float reached, time_point now)
+    -> void {
+    // The overload occurred at the concurrency reached, which may be far below
+    // a limit that did not bind.
+    constexpr float snapshot_margin = 1.1F;
+    const auto base = std::min(it.room, reached * snapshot_margin);
+    it.room = std::max(min_room, base * (1 - cut));
+    it.ceiling = std::max(min_room, base * (1 - cut / 2));
+    it.reduced = now;
+}
+
+auto grow(adaptive_limit &it, const limit_sample &sample, float in_flight)
+    -> void {
+    const auto s = interval_s(sample);
+    const auto safe = it.ceiling * safe_fraction;
+    if (it.room < safe)
+        it.room += (safe - it.room) * (1 - std::exp(-s / recovery_s));
+    else if (in_flight >= reached_fraction * it.limit)
+        it.room += probing_per_s * s;
+    else if (it.room < initial_room)
+        it.room += idle_growth_per_s * s;
+}
+
+auto adapt_room(adaptive_limit &it, const limit_sample &sample, time_point now)
+    -> void {
+    const auto in_flight = std::max(sample.in_flight, it.in_flight);
+    const auto cut = required_cut(it, sample, in_flight);
+    if (cut == 0) {
+        if (has_outcomes(sample))
+            grow(it, sample, in_flight);
+    } else if (it.reduced == time_point{} ||
+               now - it.reduced >= reduction_interval) {
+        reduce(it, cut, in_flight / sample.slots, now);
+    }
+}
+
+} // namespace
+
 auto update_limit(adaptive_limit &it, const limit_sample &sample,
                   time_point now) -> float {
-    it.limit = sample.slots;
+    if (!is_quantity(sample.slots) || !is_quantity(sample.in_flight) ||
+        !is_quantity(sample.service_ms))
+        return it.limit;
+    update_baseline(it, sample);
+    if (it.room <= 0)
+        it.room = initial_room;
+    if (sample.slots > 0 && it.limit > 0)
+        adapt_room(it, sample, now);
+    it.room = std::min(it.room, room_bound(it, sample));
+    it.limit = sample.slots * it.room;
     it.slots = sample.slots;
+    it.in_flight = sample.in_flight;
     it.updated = now;
     return it.limit;
 }
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
@@ -22,9 +22,19 @@
     float baseline_ms = 0; ///< service time without queueing; 0 while unknown
     float slots = 0;       ///< of the previous sample
     time_point updated{};
+    float room = 0;      ///< concurrent requests per slot; 0 while unknown
+    float ceiling = 0;   ///< `room` at which overload was last seen; 0 if never
+    float in_flight = 0; ///< of the previous sample
+    time_point reduced{}; ///< when `room` was last reduced
 };
 
-/// Updates the limit with a sample and returns the limit. Not thread safe.
+/// Updates the limit with a sample and returns the limit, which is the number
+/// of slots times `adaptive_limit::room`. The room covers the request that a
+/// slot processes and those that wait for it. It is bounded by the target
+/// latency, shrinks when upstreams reject requests or queueing takes too long,
+/// and grows while the limit is reached without these signs. An interval
+/// without answers changes nothing but the slots. Without slots the limit is 0.
+/// A sample with a negative or non-finite value is ignored. Not thread safe.
 auto update_limit(adaptive_limit &it, const limit_sample &sample,
                   time_point now) -> float;
 
--- a/src/libdogwoodtrack/carried/admission/allocation.hpp
+++ b/src/libdogwoodtrack/carried/admission/allocation.hpp
@@ -19,7 +19,11 @@
 };
 
 /// Part of the new flows of each priority to admit, from 0 to 1: the room that
-/// established flows leave is filled in the order of priority. Thread safe.
+/// established flows leave, together with `spilled`, is filled in the order of
+/// priority after each priority got its `min_share`. A priority without demand
+/// gets 1 if room is left when its turn comes, else 0. All priorities get 1 if
+/// the limit is 0, that is, unknown. Negative and non-finite quantities count
+/// as 0; shares whose sum exceeds 1 are scaled down. Thread safe.
 auto allocate_admission(const allocation_input &input)
     -> std::array<float, priority_count>;
 
--- /dev/null
+++ b/src/libdogwoodtrack/carried/admission/opening_queue.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "carried/feeds/configuration.hpp"
+#include "carried/flows/flows.hpp"
+
+namespace dogwoodtrack::carried {
+
+/// Opening packet that waits for admission.
+struct queued_opening {
+    packet_header header;
+    service_key service = 0;
+    std::size_t priority = 0; ///< see `priority_index`
+    time_point arrived{};
+    time_point not_before{}; ///< earliest admission, see `admission`
+    time_point deadline{};   ///< rejected if it still waits at this time
+    time_point due{};        ///< the target latency is exceeded after this time
+    std::vector<std::uint8_t> bytes; ///< the packet; empty until stored
+};
+
+/// Queue of openings in front of the limit. Not thread safe.
+struct opening_queue {
+    std::vector<queued_opening> all; ///< in no particular order
+    std::size_t limit = 128;
+    time_point busy_since{}; ///< when the queue was last empty
+};
+
+/// Numbers of openings that may wait, see `queue_opening`.
+struct queue_room {
+    std::size_t same_class = 0;  ///< with the same service and priority
+    std::size_t same_caller = 0; ///< of these, from one caller address
+};
+
+/// Result of `queue_opening`.
+struct queue_result {
+    bool queued = false;     ///< false if the new opening has to be rejected
+    bool caller_cap = false; ///< `queue_room::same_caller` was reached
+    /// Earlier opening that has to be rejected.
+    std::optional<queued_opening> displaced;
+};
+
+/// Waiting time of an opening whose route has this target latency (0: none): at
+/// most a quarter of it, and short enough that the caller does not send the
+/// opening again while it waits.
+auto queue_time(milliseconds target_latency) -> milliseconds;
+
+/// Adds an opening. A retransmission of a queued opening is not added, but
+/// counts as queued. If a number in `room` or the limit of the queue is
+/// reached, the last opening in order is displaced, which may be the new one;
+/// an opening of a caller that has reached its number displaces only others of
+/// this caller.
+auto queue_opening(opening_queue &queue, queued_opening opening,
+                   const queue_room &room, time_point now) -> queue_result;
+
+/// Stores the packet of a queued opening. Does nothing if no opening with these
+/// endpoints is queued or its packet is already stored.
+auto store_queued_packet(opening_queue &queue, const flow_endpoints &endpoints,
+                         std::span<const std::uint8_t> packet) -> void;
+
+/// Calls `decide` for each opening in order and removes those for which it
+/// returns true, after which the opening may be moved from. The order is
+/// priority, then least slack to the target latency; once the queue has not
+/// been empty for `overload_time`, it is priority, then last in, first out.
+auto serve_queue(opening_queue &queue,
+                 const std::function<bool(queued_opening &)> &decide,
+                 time_point now) -> void;
+
+/// Earliest time at which a queued opening has to be rejected, or
+/// `time_point::max()`.
+auto next_queue_deadline(const opening_queue &queue) -> time_point;
+
+/// A queue that has not been empty for this time is overloaded: its openings do
+/// not wait because of a short burst.
+inline constexpr milliseconds overload_time{100};
+
+} // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "carried/admission/admission_report.hpp"
 #include "carried/feeds/gossip.hpp"
 #include "carried/feeds/store_answers.hpp"
 #include "carried/feeds/store_watch.hpp"
@@ -228,6 +229,8 @@
     sweep_flows(steering.flows, steering.upstreams, sweep_batch, now);
     reset_flows_at_dead_upstreams(it, now);
     send_outcomes(it, now);
+    forget_unlimited(steering.admission, steering.plans, now);
+    log_admission_changes(steering, now);
 }
 
 auto log_rotation_change(const balancer_context &it, time_point now) -> void {
@@ -270,6 +273,8 @@
         next = std::min(next, it.openings.front().due);
     if (!it.waiting.all.empty())
         next = std::min(next, it.next_held_retry);
+    if (has_openings(it.state.steering.admission))
+        next = std::min(next, it.next_queue_service);
     for (const auto &call : it.state.calls) {
         if (!call.in_flight && call.not_before > now)
             next = std::min(next, call.not_before);
@@ -282,6 +287,8 @@
     constexpr double max_capacity = 60'000;
     it.apply_within = options.apply_within;
     it.steering.flows.limit = options.flow_capacity;
+    it.steering.admission.enabled = options.admission;
+    it.steering.admission.min_share = static_cast<float>(options.min_share);
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
     it.members.seeds.clear();
@@ -300,6 +307,7 @@
                        .failure_domain = domain,
                        .last_heard = now};
     it.members.random.seed(options.peers.address);
+    it.steering.admission.phase = admission_phase(options.peers.address);
     configure_board(it, options);
     return it;
 }
@@ -314,6 +322,8 @@
     it.options.flow_capacity = next.flow_capacity;
     it.options.cores = next.cores;
     it.options.seeds = next.seeds;
+    it.options.admission = next.admission;
+    it.options.min_share = next.min_share;
     configure_board(it.state, it.options);
     const auto restart = next.link != it.options.link ||
                          next.peers != it.options.peers ||
@@ -389,6 +399,7 @@
         // unanswered.
         receive_packets(it);
         retry_openings(it, monotonic::now());
+        serve_opening_queue(it, monotonic::now());
     }
 }
 
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -55,6 +55,10 @@
     std::size_t flow_capacity = 50'000; ///< maximum number of tracked flows
     milliseconds stop_deadline{5'000};  ///< maximum duration of a planned stop
     milliseconds flow_lifetime{60'000}; ///< expected maximum duration of a flow
+    bool admission = false;             ///< limits new flows as load plans say
+    /// Part of the room for new flows that each priority gets at least, from 0
+    /// to 1.
+    double min_share = 0;
     /// Returns the settings if they have changed since the last call and are
     /// valid. Called about once per second. An empty function means that
     /// settings are never reloaded.
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -37,6 +37,7 @@
     time_point next_digest{};
     time_point next_held_retry{};
     time_point next_reload{};
+    time_point next_queue_service{}; ///< see `serve_opening_queue`
     time_point last_packet_at{};
     time_point stop_requested_at{};
     bool can_serve_logged = false; ///< the event `can_serve` has been logged
@@ -56,7 +57,12 @@
 /// before an answer could arrive.
 auto retry_held_packets(balancer_context &it, time_point now) -> void;
 
-/// Rejects all held opening packets, since the balancer is about to stop.
+/// Forwards queued openings that are admitted by now, and rejects those that
+/// cannot be served in time or were displaced.
+auto serve_opening_queue(balancer_context &it, time_point now) -> void;
+
+/// Rejects all held and queued opening packets, since the balancer is about to
+/// stop.
 auto reject_held_openings(balancer_context &it) -> void;
 
 /// Forwards each opening packet that is still unanswered at
--- a/src/libdogwoodtrack/carried/balancer_packets.cpp
+++ b/src/libdogwoodtrack/carried/balancer_packets.cpp
@@ -1,5 +1,6 @@
 #include "carried/balancer_context.hpp"
 
+#include <algorithm>
 #include <cstring>
 #include <sys/socket.h>
 #include <utility>
@@ -96,6 +97,9 @@
         return record_refusal(it, header, decision);
     case verdict_kind::drop:
         return record_refusal(it, header, decision);
+    case verdict_kind::queue:
+        return store_queued_packet(it.state.steering.admission.queue,
+                                   header.endpoints, packet);
     case verdict_kind::hold:
         return;
     }
@@ -136,6 +140,13 @@
         {.kind = verdict_kind::reject, .why = refusal::no_configuration});
 }
 
+auto reject_queued(balancer_context &it, const queued_opening &opening)
+    -> void {
+    reset(it, opening.header.endpoints, opening.header.acknowledged);
+    record_refusal(it, opening.header,
+                   {.kind = verdict_kind::reject, .why = refusal::overload});
+}
+
 auto reject_expired_openings(balancer_context &it, time_point now) -> void {
     for (const auto &one : take_expired(it.waiting, now))
         reject_opening(it, one);
@@ -205,9 +216,34 @@
     }
 }
 
+auto serve_opening_queue(balancer_context &it, time_point now) -> void {
+    auto &admission = it.state.steering.admission;
+    if (!has_openings(admission) ||
+        (admission.displaced.empty() && now < it.next_queue_service))
+        return;
+    const auto due = take_due_openings(admission, it.state.steering.plans, now);
+    for (const auto &one : due.rejected)
+        reject_queued(it, one);
+    std::array<std::uint8_t, delivery_headroom + max_packet_size> buf;
+    for (const auto &one : due.admitted) {
+        std::span<std::uint8_t> packet(buf.data() + delivery_headroom,
+                                       one.bytes.size());
+        std::memcpy(packet.data(), one.bytes.data(), one.bytes.size());
+        execute(it, packet, one.header,
+                steer_admitted(it.state.steering, one.header, now), now);
+    }
+    it.next_queue_service =
+        std::min(now + queue_interval, next_queue_deadline(admission.queue));
+}
+
 auto reject_held_openings(balancer_context &it) -> void {
     for (const auto &one : std::exchange(it.waiting.all, {}))
         reject_opening(it, one);
+    auto &admission = it.state.steering.admission;
+    for (const auto &one : std::exchange(admission.displaced, {}))
+        reject_queued(it, one);
+    for (const auto &one : std::exchange(admission.queue.all, {}))
+        reject_queued(it, one);
 }
 
 auto retry_openings(balancer_context &it, time_point now) -> void {
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -78,8 +78,30 @@
     it = {};
 }
 
+// Decision of the admission about a new flow; nothing if it is admitted.
+auto refuse_by_admission(steering_state &state, const packet_header &header,
+                         const route_spec &route, time_point now)
+    -> std::optional<verdict> {
+    const opening_request request{
+        .header = header,
+        .service =
+            choose_service(route, flow_endpoints_hash{}(header.endpoints)),
+        .priority = route.priority,
+        .target_latency = route.target_latency};
+    switch (decide_opening(state.admission, request,
+                           plan_for(state.plans, request.service, now), now)) {
+    case admission_decision::admit:
+        break;
+    case admission_decision::queue:
+        return refuse(verdict_kind::queue, refusal::none);
+    case admission_decision::reject:
+        return refuse(verdict_kind::reject, refusal::overload);
+    }
+    return std::nullopt;
+}
+
 auto steer_opening(steering_state &state, const packet_header &header,
-                   time_point now) -> verdict {
+                   bool admitted, time_point now) -> verdict {
     if (!state.in_force)
         return refuse(verdict_kind::hold, refusal::no_configuration);
     const auto *route = find_route(*state.in_force, header.endpoints.service);
@@ -91,8 +113,15 @@
     auto *known = find_flow(state.flows, header.endpoints);
     if (known != nullptr && is_new_flow(*known, header, now))
         clear_flow(state, *known);
-    if (known == nullptr || known->to == no_upstream)
+    if (known == nullptr || known->to == no_upstream) {
+        if (state.admission.enabled && !admitted) {
+            const auto refused =
+                refuse_by_admission(state, header, *route, now);
+            if (refused)
+                return *refused;
+        }
         return place_flow(state, header, *route, known, now);
+    }
     if (known->stage != flow_stage::opening)
         return forward_to(state, known->to);
     if (answered_since(state, *known) &&
@@ -138,14 +167,15 @@
 auto to_string(refusal why) -> std::string_view {
     static constexpr std::array names{
         "none",        "no_configuration", "no_route",
-        "no_upstream", "unknown_binding",  "dead_upstream"};
+        "no_upstream", "unknown_binding",  "dead_upstream",
+        "overload"};
     return names[static_cast<std::size_t>(why)];
 }
 
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict {
     if (header.opens)
-        return steer_opening(state, header, now);
+        return steer_opening(state, header, false, now);
     auto *known = find_flow(state.flows, header.endpoints);
     const auto to = resolve_binding(state, known, header.binding);
     if (to == no_upstream)
@@ -175,6 +205,11 @@
     return forward_to(state, to);
 }
 
+auto steer_admitted(steering_state &state, const packet_header &header,
+                    time_point now) -> verdict {
+    return steer_opening(state, header, true, now);
+}
+
 auto steer_retry(steering_state &state, const flow_endpoints &endpoints,
                  time_point now) -> verdict {
     auto *known = find_flow(state.flows, endpoints);
@@ -184,6 +219,9 @@
     auto &silent = state.upstreams.all[known->to];
     if (!answered_since(state, *known))
         record_unanswered(silent, now);
+    if (state.admission.enabled &&
+        is_limited(plan_for(state.plans, silent.record.service, now)))
+        return {};
     // The flow is treated as non-idempotent, so that the retry does not become
     // the trial flow of an upstream on probation.
     const new_flow wanted{.service = silent.record.service,
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 
+#include "carried/admission/admission.hpp"
 #include "carried/flows/flows.hpp"
 #include "carried/upstreams/upstream_selection.hpp"
 
@@ -21,7 +22,10 @@
     /// Keep the packet until the configuration and upstreams needed to decide
     /// about it are known.
     hold,
-    drop ///< send no answer, as a reset could be wrong; the caller retransmits
+    drop, ///< send no answer, as a reset could be wrong; the caller retransmits
+    /// Store the opening packet in `steering_state::admission` (see
+    /// `store_queued_packet`). It waits there for admission.
+    queue
 };
 
 /// Reason why a packet was not forwarded, for logs and metrics.
@@ -32,7 +36,8 @@
     no_upstream,
     unknown_binding, ///< no upstream has the packet's binding code
     dead_upstream,
-    count ///< number of values above
+    overload, ///< capacity is short, see `decide_opening`
+    count     ///< number of values above
 };
 
 /// Name of a refusal in logs and metrics, for example `no_route`.
@@ -65,19 +70,26 @@
     /// Failure domains from which the flows of other balancers of the own
     /// domain get no answers, as those balancers report.
     std::vector<std::uint32_t> reported_unresponsive;
+    load_plan_state plans; ///< of the own failure domain
+    admission_state admission;
 };
 
 /// Decides about one packet of a caller and updates the packet's flow.
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict;
 
+/// Decides about an opening packet that `take_due_openings` has admitted.
+auto steer_admitted(steering_state &state, const packet_header &header,
+                    time_point now) -> verdict;
+
 /// Decides about an opening packet that was not answered within
 /// `opening_retry_delay`: forwards it to a second upstream as well. Returns
 /// `drop` if the flow is unknown, is established by now, has been retried
 /// before, or if there is no other upstream for it. If the flow is still
 /// opening and has not been retried before, also records the unanswered opening
 /// at its first upstream (see `record_unanswered`), unless that upstream has
-/// answered another flow since.
+/// answered another flow since. While the plan limits new flows of the service,
+/// no second upstream is chosen, since every opening takes up a slot.
 auto steer_retry(steering_state &state, const flow_endpoints &endpoints,
                  time_point now) -> verdict;
 
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -5,6 +5,7 @@
 
 #include <fmt/format.h>
 
+#include "carried/admission/admission_report.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_ejection.hpp"
 
@@ -89,6 +90,7 @@
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
+    write_admission(out, it.steering, now);
     return fmt::to_string(out) + metrics.to_prometheus();
 }
 
