admission: openings of few caller addresses keep their part

In a burst from a single address all openings but the first followed a rejection, and their part of the fraction was forfeited: 1 of 100 was admitted at a fraction of 0.3.

--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
@@ -8,7 +8,9 @@
 struct limit_sample {
     /// Slots of the domain's upstreams that may get new flows.
     float slots = 0;
-    float in_flight = 0; ///< requests under way at the end of the interval
+    /// Requests under way at these upstreams at the end of the interval. Those
+    /// that hang at upstreams without slots in `slots` would use up the limit.
+    float in_flight = 0;
     std::uint32_t answers = 0;
     std::uint32_t rejections = 0; ///< requests that upstreams rejected
     float service_ms = 0;         ///< mean of the answers
--- a/src/libdogwoodtrack/carried/admission/admission.cpp
+++ b/src/libdogwoodtrack/carried/admission/admission.cpp
@@ -65,8 +65,12 @@
 // Adds the admissions that were to be expected since the last update.
 auto advance(admission_class &it, float fraction, time_point now) -> void {
     update_rate(it, now);
+    // What recent openings left may wait for others in the queue. Older
+    // admissions are forfeited, since together they would be a burst.
     const auto bound =
-        1 + expected_admissions(it, fraction, queue_time(milliseconds{0}));
+        1 +
+        std::max(expected_admissions(it, fraction, queue_time(milliseconds{0})),
+                 fraction * static_cast<float>(it.arrivals));
     it.spare += it.rate * fraction * seconds_between(it.updated, now);
     it.spare = std::clamp(it.spare, -bound, bound);
     it.updated = now;
--- a/src/libdogwoodtrack/carried/admission/opening_queue.cpp
+++ b/src/libdogwoodtrack/carried/admission/opening_queue.cpp
@@ -1,6 +1,7 @@
 #include "carried/admission/opening_queue.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodtrack::carried {
 
@@ -39,23 +40,74 @@
            b.header.endpoints.caller.address;
 }
 
-// Replaces the last opening in order among those that `competes` selects, or
-// leaves the new one out if that would be the last.
-auto displace_last(opening_queue &queue, queued_opening &opening,
-                   const std::function<bool(const queued_opening &)> &competes,
-                   time_point now) -> queue_result {
+using opening_filter = std::function<bool(const queued_opening &)>;
+
+// Queued opening that comes last in order among those that `competes` selects,
+// or null.
+auto find_last(opening_queue &queue, const opening_filter &competes,
+               time_point now) -> queued_opening * {
     const auto order = order_at(queue, now);
-    auto *last = &opening;
+    queued_opening *last = nullptr;
     for (auto &it : queue.all) {
-        if (competes(it) && order(*last, it))
+        if (competes(it) && (last == nullptr || order(*last, it)))
             last = &it;
     }
-    if (last == &opening)
+    return last;
+}
+
+// Replaces the last opening in order among the new one and those that
+// `competes` selects.
+auto displace_last(opening_queue &queue, queued_opening &opening,
+                   const opening_filter &competes, time_point now)
+    -> queue_result {
+    auto *last = find_last(queue, competes, now);
+    if (last == nullptr || order_at(queue, now)(*last, opening))
         return {};
     return {.queued = true,
             .displaced = std::exchange(*last, std::move(opening))};
 }
 
+auto count_of_caller(const opening_queue &queue, const queued_opening &like)
+    -> std::size_t {
+    return static_cast<std::size_t>(std::count_if(
+        queue.all.begin(), queue.all.end(), [&](const queued_opening &it) {
+            return is_same_class(it, like) && is_same_caller(it, like);
+        }));
+}
+
+// Displaces an opening of the same class: of the same caller if that has
+// reached its number, else of one that exceeds it, else of any.
+auto displace_in_class(opening_queue &queue, queued_opening &opening,
+                       std::size_t same_caller, time_point now)
+    -> queue_result {
+    if (count_of_caller(queue, opening) >= same_caller) {
+        auto result = displace_last(
+            queue, opening,
+            [&](const queued_opening &it) {
+                return is_same_class(it, opening) &&
+                       is_same_caller(it, opening);
+            },
+            now);
+        result.caller_cap = true;
+        return result;
+    }
+    auto *excess = find_last(
+        queue,
+        [&](const queued_opening &it) {
+            return is_same_class(it, opening) &&
+                   count_of_caller(queue, it) > same_caller;
+        },
+        now);
+    if (excess != nullptr)
+        return {.queued = true,
+                .caller_cap = true,
+                .displaced = std::exchange(*excess, std::move(opening))};
+    return displace_last(
+        queue, opening,
+        [&](const queued_opening &it) { return is_same_class(it, opening); },
+        now);
+}
+
 } // namespace
 
 auto queue_time(milliseconds target_latency) -> milliseconds {
@@ -67,35 +119,15 @@
 auto queue_opening(opening_queue &queue, queued_opening opening,
                    const queue_room &room, time_point now) -> queue_result {
     std::size_t in_class = 0;
-    std::size_t of_caller = 0;
     for (const auto &it : queue.all) {
         if (it.header.endpoints == opening.header.endpoints)
             return {.queued = true};
-        if (!is_same_class(it, opening))
-            continue;
-        ++in_class;
-        of_caller += is_same_caller(it, opening) ? 1 : 0;
+        in_class += is_same_class(it, opening) ? 1 : 0;
     }
     if (room.same_class == 0)
         return {};
-    if (of_caller > 0 && of_caller >= room.same_caller) {
-        auto result = displace_last(
-            queue, opening,
-            [&](const queued_opening &it) {
-                return is_same_class(it, opening) &&
-                       is_same_caller(it, opening);
-            },
-            now);
-        result.caller_cap = true;
-        return result;
-    }
     if (in_class >= room.same_class)
-        return displace_last(
-            queue, opening,
-            [&](const queued_opening &it) {
-                return is_same_class(it, opening);
-            },
-            now);
+        return displace_in_class(queue, opening, room.same_caller, now);
     if (queue.all.size() >= queue.limit)
         return displace_last(
             queue, opening, [](const queued_opening &) { return true; }, now);
--- a/src/libdogwoodtrack/carried/admission/opening_queue.hpp
+++ b/src/libdogwoodtrack/carried/admission/opening_queue.hpp
@@ -16,7 +16,7 @@
     service_key service = 0;
     std::size_t priority = 0; ///< see `priority_index`
     time_point arrived{};
-    time_point not_before{}; ///< earliest admission, see `admission`
+    time_point not_before{}; ///< earliest admission, see `decide_opening`
     time_point deadline{};   ///< rejected if it still waits at this time
     time_point due{};        ///< the target latency is exceeded after this time
     std::vector<std::uint8_t> bytes; ///< the packet; empty until stored
@@ -25,20 +25,25 @@
 /// Queue of openings in front of the limit. Not thread safe.
 struct opening_queue {
     std::vector<queued_opening> all; ///< in no particular order
-    std::size_t limit = 128;
+    /// Maximum number of openings, several times those that a balancer admits
+    /// within their waiting time.
+    std::size_t limit = 64;
     time_point busy_since{}; ///< when the queue was last empty
 };
 
 /// Numbers of openings that may wait, see `queue_opening`.
 struct queue_room {
-    std::size_t same_class = 0;  ///< with the same service and priority
-    std::size_t same_caller = 0; ///< of these, from one caller address
+    std::size_t same_class = 0; ///< with the same service and priority
+    /// Of these, from one caller address, if others compete.
+    std::size_t same_caller = 0;
 };
 
 /// Result of `queue_opening`.
 struct queue_result {
-    bool queued = false;     ///< false if the new opening has to be rejected
-    bool caller_cap = false; ///< `queue_room::same_caller` was reached
+    bool queued = false; ///< false if the new opening has to be rejected
+    /// The opening that is rejected belongs to a caller that has reached
+    /// `queue_room::same_caller`.
+    bool caller_cap = false;
     /// Earlier opening that has to be rejected.
     std::optional<queued_opening> displaced;
 };
@@ -49,10 +54,10 @@
 auto queue_time(milliseconds target_latency) -> milliseconds;
 
 /// Adds an opening. A retransmission of a queued opening is not added, but
-/// counts as queued. If a number in `room` or the limit of the queue is
-/// reached, the last opening in order is displaced, which may be the new one;
-/// an opening of a caller that has reached its number displaces only others of
-/// this caller.
+/// counts as queued. If the class or the queue is full, the last opening in
+/// order is rejected, which may be the new one. If the class is full, an
+/// opening of a caller that has reached its number displaces only others of
+/// this caller, and those of callers that exceed it are displaced first.
 auto queue_opening(opening_queue &queue, queued_opening opening,
                    const queue_room &room, time_point now) -> queue_result;
 
--- a/src/libdogwoodtrack/carried/balancer_test.cpp
+++ b/src/libdogwoodtrack/carried/balancer_test.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 
 #include "carried/balancer.hpp"
+#include "carried/balancer_context.hpp"
 #include "carried/test_support.hpp"
 #include "sockets.hpp"
 
@@ -256,3 +257,61 @@
     // the same time as `CLOCK_BOOTTIME`, so the type is checked as well.
     CHECK_FALSE(std::is_same_v<monotonic, std::chrono::steady_clock>);
 }
+
+// Guards against callers that wait for the answer to a rejected opening, and
+// against queued openings that are lost.
+TEST_CASE("sudden crowd: each opening is forwarded or answered with a reset in "
+          "time") {
+    endpoint caller_address;
+    endpoint link;
+    endpoint upstream_address;
+    const auto caller = open_loopback_socket(caller_address);
+    const auto upstream = open_loopback_socket(upstream_address);
+    silent_store store;
+    event_loop loop;
+    balancer_context it{
+        .options = {}, .codec = test_codec, .store = store, .loop = loop};
+    it.link = open_loopback_socket(link, SOCK_DGRAM | SOCK_NONBLOCK);
+    // Resets go to the port of the balancer's own link.
+    it.options.link.port = caller_address.port;
+    auto &steering = it.state.steering;
+    auto record = make_record("i-0", 5);
+    record.address = upstream_address;
+    apply_record(steering.upstreams, record, start);
+    steering.in_force = make_configuration(1);
+    steering.admission.enabled = true;
+    steering.plans.last.services.push_back(
+        {.service = bookings, .admit = {0.3F, 1, 1, 1}});
+    constexpr std::size_t openings = 100;
+    std::size_t forwarded = 0;
+    std::size_t rejected = 0;
+    std::array<std::uint8_t, 64> buf;
+    const auto count_packets = [&] {
+        while (recv(upstream, buf.data(), buf.size(), MSG_DONTWAIT) > 0)
+            ++forwarded;
+        while (recv(caller, buf.data(), buf.size(), MSG_DONTWAIT) > 0)
+            rejected += buf[0] == 'r' ? 1 : 0;
+    };
+    auto now = start;
+    for (std::size_t i = 0; i < openings; ++i) {
+        const std::array<std::uint8_t, 3> packet{'o', 1,
+                                                 static_cast<std::uint8_t>(i)};
+        send_datagram(caller, link, packet.data(), packet.size());
+        receive_packets(it);
+        now = monotonic::now();
+        serve_opening_queue(it, now);
+        count_packets();
+        CHECK(forwarded + rejected + steering.admission.queue.all.size() ==
+              i + 1);
+    }
+    for (const auto later : {milliseconds{100}, milliseconds{200}})
+        serve_opening_queue(it, now + later);
+    count_packets();
+    CHECK(forwarded + rejected == openings);
+    CHECK(forwarded >= openings * 3 / 10 - 2);
+    CHECK(it.state.counters
+              .refused[static_cast<std::size_t>(refusal::overload)] ==
+          rejected);
+    for (const auto fd : {caller, upstream, it.link})
+        close(fd);
+}
