--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -120,8 +120,11 @@
         "Cost of one KiB that crosses between failure domains, in milliseconds "
         "of a caller's waiting time; 0 if it costs nothing")
         ->check(CLI::Range(0.0, 1'000'000.0));
+    add("--admission", it.balancer.admission, "ADMISSION",
+        "Whether new flows are limited when capacity is short; requires "
+        "load-plans");
     add("--min-share", it.balancer.min_share, "MIN_SHARE",
-        "Part of a service's room that each priority gets at least")
+        "Part of the room for new flows that each priority gets at least")
         ->check(CLI::Range(0.0, 0.25));
     add("--log-level", raw.log_level, "LOG_LEVEL",
         "Lowest severity that is logged")
--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -82,6 +82,7 @@
     CHECK(it.operators.port == 0);
     CHECK_FALSE(it.first_start);
     CHECK(it.evacuate_within == milliseconds{0});
+    CHECK_FALSE(it.admission);
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
@@ -120,7 +121,7 @@
           "evacuate-within-ms = 99", "evacuate-within-ms = -1",
           "cold-overage = -1", "cold-slack = much", "no-such-setting = 1",
           "link =", "load-plans = maybe", "domain-traffic-price = -1",
-          "min-share = 0.3"}) {
+          "admission = maybe", "min-share = 0.5"}) {
         CAPTURE(line);
         auto content = required_settings;
         if (line.starts_with("link"))
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include "carried/admission/admission_report.hpp"
 #include "carried/evacuation_log.hpp"
 #include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
@@ -263,6 +264,8 @@
     reset_flows_at_dead_upstreams(it, now);
     send_outcomes(it, now);
     log_unknown_evacuations(it.state, now);
+    forget_unlimited(steering.admission, steering.plans, now);
+    log_admission_changes(steering, now);
 }
 
 auto log_rotation_change(const balancer_context &it, time_point now) -> void {
@@ -316,6 +319,8 @@
         next = std::min(next, it.next_held_retry);
     if (it.options.load_plans)
         next = std::min(next, it.state.load.next_step);
+    if (has_openings(it.state.steering.admission))
+        next = std::min(next, it.next_queue_service);
     for (const auto &call : it.state.calls) {
         if (!call.in_flight && call.not_before > now)
             next = std::min(next, call.not_before);
@@ -332,6 +337,8 @@
     enable_load_exchange(it, options.load_plans);
     it.load.price_ms_per_kib = static_cast<float>(options.domain_traffic_price);
     it.load.min_share.fill(static_cast<float>(options.min_share));
+    it.steering.admission.enabled = options.admission;
+    it.steering.admission.min_share = static_cast<float>(options.min_share);
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
     auto &steering = it.steering;
@@ -354,6 +361,7 @@
                        .failure_domain = domain,
                        .last_heard = now};
     it.members.random.seed(options.peers.address);
+    it.steering.admission.phase = admission_phase(options.peers.address);
     configure_board(it, options);
     return it;
 }
@@ -372,6 +380,7 @@
     it.options.seeds = next.seeds;
     it.options.load_plans = next.load_plans;
     it.options.domain_traffic_price = next.domain_traffic_price;
+    it.options.admission = next.admission;
     it.options.min_share = next.min_share;
     configure_board(it.state, it.options);
     const auto restart = next.link != it.options.link ||
@@ -449,6 +458,7 @@
         // unanswered.
         receive_packets(it);
         retry_openings(it, monotonic::now());
+        serve_opening_queue(it, monotonic::now());
     }
 }
 
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -63,8 +63,9 @@
     /// Cost of one KiB that crosses to another failure domain, in milliseconds
     /// of a caller's waiting time.
     double domain_traffic_price = 0.5;
-    /// Part of a service's room that each priority gets at least, if it asks
-    /// for it.
+    bool admission = false; ///< limits new flows as load plans say
+    /// Part of the room for new flows that each priority gets at least, from 0
+    /// to 1.
     double min_share = 0;
     /// Returns the settings if they have changed since the last call and are
     /// valid. Called about once per second. An empty function means that
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -97,8 +97,30 @@
     it = {};
 }
 
+// Decision of the admission about a new flow; nothing if it is admitted.
+auto refuse_by_admission(steering_state &state, const packet_header &header,
+                         const route_spec &route, time_point now)
+    -> std::optional<verdict> {
+    const opening_request request{
+        .header = header,
+        .service =
+            choose_service(route, flow_endpoints_hash{}(header.endpoints)),
+        .priority = route.priority,
+        .target_latency = route.target_latency};
+    switch (decide_opening(state.admission, request,
+                           plan_for(state.plans, request.service, now), now)) {
+    case admission_decision::admit:
+        break;
+    case admission_decision::queue:
+        return refuse(verdict_kind::queue, refusal::none);
+    case admission_decision::reject:
+        return refuse(verdict_kind::reject, refusal::overload);
+    }
+    return std::nullopt;
+}
+
 auto steer_opening(steering_state &state, const packet_header &header,
-                   time_point now) -> verdict {
+                   bool admitted, time_point now) -> verdict {
     if (!state.in_force || !state.evacuations_known)
         return refuse(verdict_kind::hold, refusal::no_configuration);
     const auto *route = find_route(*state.in_force, header.endpoints.service);
@@ -110,8 +132,15 @@
     auto *known = find_flow(state.flows, header.endpoints);
     if (known != nullptr && is_new_flow(*known, header, now))
         clear_flow(state, *known);
-    if (known == nullptr || known->to == no_upstream)
+    if (known == nullptr || known->to == no_upstream) {
+        if (state.admission.enabled && !admitted) {
+            const auto refused =
+                refuse_by_admission(state, header, *route, now);
+            if (refused)
+                return *refused;
+        }
         return place_flow(state, header, *route, known, now);
+    }
     if (known->stage != flow_stage::opening)
         return forward_to(state, known->to);
     if (answered_since(state, *known) &&
@@ -191,7 +220,7 @@
     static constexpr std::array names{
         "none",        "no_configuration", "no_route",
         "no_upstream", "unknown_binding",  "dead_upstream",
-        "evacuated"};
+        "evacuated",   "overload"};
     return names[static_cast<std::size_t>(why)];
 }
 
@@ -200,7 +229,7 @@
     if (header.opens) {
         const auto is_new =
             state.flows.load.enabled && opens_new_flow(state, header, now);
-        const auto decision = steer_opening(state, header, now);
+        const auto decision = steer_opening(state, header, false, now);
         if (is_new)
             track_decision(state, header, decision);
         return decision;
@@ -238,6 +267,11 @@
     return forward_to(state, to);
 }
 
+auto steer_admitted(steering_state &state, const packet_header &header,
+                    time_point now) -> verdict {
+    return steer_opening(state, header, true, now);
+}
+
 auto steer_retry(steering_state &state, const flow_endpoints &endpoints,
                  time_point now) -> verdict {
     auto *known = find_flow(state.flows, endpoints);
@@ -250,6 +284,9 @@
         record_unanswered(silent, now);
         count_unanswered(state.flows.load, silent.record.service, known->code);
     }
+    if (state.admission.enabled &&
+        is_limited(plan_for(state.plans, silent.record.service, now)))
+        return {};
     // The flow is treated as non-idempotent, so that the retry does not become
     // the trial flow of an upstream on probation.
     const auto service = silent.record.service;
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "carried/admission/admission_report.hpp"
 #include "carried/load/load_metrics.hpp"
 #include "carried/load/spill_report.hpp"
 #include "carried/members/rotation.hpp"
@@ -159,6 +160,7 @@
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_feeds(out, it, now);
     write_cold_quota(out, it.steering.upstreams, now);
+    write_admission(out, it.steering, now);
     write_plans(out, it.steering, now);
     return fmt::to_string(out) + load_metrics_text(it, now) +
            metrics.to_prometheus();
