fleet model: evacuation of the first failure domain

The simulated store keeps evacuations, and the fault evacuate_domain writes and removes one. The report counts flows placed on the domain after the bound.

--- a/src/libstandin/fleet_model.cpp
+++ b/src/libstandin/fleet_model.cpp
@@ -27,6 +27,9 @@
         {"late_placements", report.late_placements},
         {"old_configurations", report.old_configurations},
         {"stale_balancers", report.stale_balancers},
+        {"evacuated_placements", report.evacuated_placements},
+        {"final_placements_in_first_domain",
+         report.final_placements_in_first_domain},
         {"busiest_to_mean", report.busiest_to_mean},
         {"asked_by_second", report.asked_by_second},
         {"in_time_by_second", report.in_time_by_second}};
--- a/src/libstandin/fleet_model.hpp
+++ b/src/libstandin/fleet_model.hpp
@@ -33,7 +33,10 @@
     /// failure domains. Callers still reach it.
     cut_domain,
     /// A new version of the configuration is written to the store.
-    new_configuration
+    new_configuration,
+    /// The first failure domain is evacuated: its entry is written to the
+    /// store, and removed when the fault ends.
+    evacuate_domain
 };
 
 /// One fault. `share`, between 0 and 1, is the fraction of the balancers or
@@ -68,6 +71,9 @@
     milliseconds apply_within{3'000};
     double loss = 0; ///< fraction of messages between balancers that is lost
     std::vector<fault> faults;
+    /// Time within which an evacuation has to take effect on every balancer; 0:
+    /// balancers do not read evacuations.
+    milliseconds evacuate_within{0};
 };
 
 /// Results of a simulation, as seen by the callers and the store.
@@ -109,6 +115,12 @@
     /// For each second of the traffic: requests started in it that were
     /// answered within the target latency.
     std::vector<std::size_t> in_time_by_second;
+    /// Opening packets that balancers forwarded to an upstream more than
+    /// `evacuate_within` after the evacuation of its failure domain began.
+    std::size_t evacuated_placements = 0;
+    /// Opening packets that balancers forwarded to the upstreams of the first
+    /// failure domain in the last 2 s of the traffic.
+    std::size_t final_placements_in_first_domain = 0;
 };
 
 /// Simulates a fleet with the production decision code, without network,
--- a/src/libstandin/fleet_model_test.cpp
+++ b/src/libstandin/fleet_model_test.cpp
@@ -263,3 +263,26 @@
     options.faults.front().kind = fault_kind::fail_upstreams;
     CHECK(share(simulate(options).errors, report) < 0.01);
 }
+
+// Guards against flows on an evacuated domain after the time bound: the store
+// fails 100 ms after its acknowledgement, and half of the balancers restart
+// while it is away.
+TEST_CASE("an evacuation is in force in time on every balancer although the "
+          "store fails and balancers restart, and ends when withdrawn") {
+    const auto report =
+        simulate({.loss = 0.05,
+                  .faults = {{.kind = fault_kind::evacuate_domain,
+                              .at = fault_time,
+                              .duration = seconds{8}},
+                             {.kind = fault_kind::store_unreachable,
+                              .at = fault_time + milliseconds{100},
+                              .duration = seconds{6}},
+                             {.kind = fault_kind::kill_balancers,
+                              .at = fault_time + seconds{1},
+                              .duration = seconds{1},
+                              .share = 0.5}},
+                  .evacuate_within = seconds{5}});
+    check_invariants(report);
+    CHECK(report.evacuated_placements == 0);
+    CHECK(report.final_placements_in_first_domain > 100);
+}
--- a/src/libstandin/fleet_simulation.cpp
+++ b/src/libstandin/fleet_simulation.cpp
@@ -65,6 +65,7 @@
     it.started = now_;
     it.first_start = first_start;
     it.apply_within = options_.apply_within;
+    set_evacuate_within(it, options_.evacuate_within);
     it.members.self = {.address = i + 1,
                        .failure_domain = i % options_.domains,
                        .last_heard = now_};
@@ -108,6 +109,9 @@
                               [this] { first_domain_cut_off_ = false; });
     case fault_kind::new_configuration:
         return write_configuration();
+    case fault_kind::evacuate_domain:
+        write_evacuation(false);
+        return schedule_after(it.duration, [this] { write_evacuation(true); });
     }
 }
 
--- a/src/libstandin/fleet_simulation.hpp
+++ b/src/libstandin/fleet_simulation.hpp
@@ -8,6 +8,7 @@
 #include <queue>
 #include <random>
 
+#include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
 #include "carried/feeds/store_watch.hpp"
 #include "carried/flows/steering.hpp"
@@ -296,6 +297,13 @@
 
     auto start_store_outage(milliseconds duration) -> void;
 
+    /// Writes or removes the entry that evacuates the first failure domain.
+    auto write_evacuation(bool removed) -> void;
+
+    /// Counts an opening packet that a balancer forwards to an evacuated domain
+    /// too late, or to the first domain near the end of the traffic.
+    auto count_placement(const simulated_upstream &receiver) -> void;
+
     auto complete_report() -> void;
 
     const model_options options_;
@@ -316,6 +324,10 @@
     std::map<std::string, upstream_record> entries_;
     std::vector<upstream_record> history_; ///< all changes of entries
     configuration configuration_;
+    std::vector<evacuation_entry> evacuation_history_; ///< all changes
+    /// When the evacuation of the first domain began; default value: it is not
+    /// evacuated.
+    time_point evacuated_since_{};
     std::uint64_t revision_ = 0;
     /// Number of attempts of all callers so far. It determines the address and
     /// port of the next attempt, so that each attempt has a flow of its own.
--- a/src/libstandin/fleet_simulation_requests.cpp
+++ b/src/libstandin/fleet_simulation_requests.cpp
@@ -120,6 +120,7 @@
     if (receiver.draining_since != time_point{} &&
         now_ - receiver.draining_since > options_.apply_within)
         ++report_.late_placements;
+    count_placement(receiver);
     if (receiver.crashed ||
         are_partitioned(domain_of(balancer), receiver.record.failure_domain))
         return;
--- a/src/libstandin/fleet_simulation_store.cpp
+++ b/src/libstandin/fleet_simulation_store.cpp
@@ -30,6 +30,24 @@
     answer_watches(feed::configuration);
 }
 
+auto simulation::write_evacuation(bool removed) -> void {
+    evacuation_history_.push_back({.domain = {.name = "first", .domain = 0},
+                                   .removed = removed,
+                                   .changed_at = ++revision_});
+    evacuated_since_ = removed ? time_point{} : now_;
+    answer_watches(feed::evacuations);
+}
+
+auto simulation::count_placement(const simulated_upstream &receiver) -> void {
+    if (receiver.record.failure_domain != 0)
+        return;
+    if (evacuated_since_ != time_point{} &&
+        now_ - evacuated_since_ > options_.evacuate_within)
+        ++report_.evacuated_placements;
+    if (now_ > start_ + warm_up_ + options_.length - seconds{2})
+        ++report_.final_placements_in_first_domain;
+}
+
 auto simulation::can_reach_store(std::size_t i) const -> bool {
     return !store_unreachable_ && !is_cut_off(domain_of(i));
 }
@@ -45,6 +63,13 @@
                 std::make_shared<configuration>(configuration_);
         return it;
     }
+    if (call.what == feed::evacuations) {
+        for (const auto &entry : evacuation_history_) {
+            if (call.list || entry.changed_at > call.since)
+                it.evacuations.push_back(entry);
+        }
+        return it;
+    }
     if (call.list) {
         for (const auto &[id, record] : entries_)
             it.records.push_back(record);
@@ -79,6 +104,9 @@
 auto simulation::has_changes(const store_call &call) const -> bool {
     if (call.what == feed::configuration)
         return configuration_.revision > call.since;
+    if (call.what == feed::evacuations)
+        return !evacuation_history_.empty() &&
+               evacuation_history_.back().changed_at > call.since;
     return !history_.empty() && history_.back().revision > call.since;
 }
 
