--- a/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
@@ -271,6 +271,14 @@
     CHECK(version_of(after, feed::evacuations).as_of == 20);
     CHECK(version_of(after, feed::evacuations).confirmed >=
           start + seconds{2} - milliseconds{1});
+    // The same set, listed later, but not later than what the others know.
+    auto restarted = make_balancer(3);
+    auto peer = before.members.self;
+    peer.last_heard = start + seconds{3};
+    update_member(restarted.members, peer);
+    apply(restarted, list_of({entry_of("east", 5)}, 15));
+    CHECK(digest_all({&before, &restarted}, start + seconds{3}) == 0);
+    CHECK(version_of(restarted, feed::evacuations).as_of == 20);
 }
 
 TEST_CASE("a set that exceeds a datagram is put in force only as a whole") {
