--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
@@ -10,9 +10,10 @@
 /// Part of the target latency that requests may wait for a slot. The queue of
 /// openings takes up to another quarter, so half remains for processing.
 constexpr float queueing_fraction = 0.25F;
-/// Concurrent requests per slot before anything is known: one is processed and
-/// one waits, so that a slot has work when it becomes free.
-constexpr float initial_room = 2;
+/// Concurrent requests per slot before anything is known: one is processed, and
+/// every second slot has another waiting. With 2, upstreams rejected twice as
+/// much at the beginning of a crowd.
+constexpr float initial_room = 1.5F;
 /// Upstreams of two slots without a queue reject requests at a mean load of
 /// about half of their slots, because balancers do not know each other's flows.
 constexpr float min_room = 0.5F;
--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -28,3 +28,22 @@
     CHECK(status["upstreams"][0]["ejected"] == true);
     CHECK(status["upstreams"][1]["ejected"] == false);
 }
+
+// Guards against operators who cannot see why openings are rejected.
+TEST_CASE("the metrics show the plan and the outcomes of admission, if it is "
+          "enabled") {
+    auto it = make_blackboard(1);
+    it.steering.in_force = make_configuration(1);
+    it.steering.plans.last.services.push_back(
+        {.service = bookings, .admit = {1, 0.5F, 0, 0}, .limit = 240});
+    const auto contains = [&](const char *text) {
+        return metrics_text(it, {}, start).find(text) != std::string::npos;
+    };
+    CHECK(contains("dogwoodtrack_refused_total{why=\"overload\"} 0"));
+    CHECK_FALSE(contains("dogwoodtrack_admission_total"));
+    it.steering.admission.enabled = true;
+    CHECK(contains("dogwoodtrack_admission_total{outcome=\"displaced\","));
+    CHECK(contains("priority=\"1\"} 0.500"));
+    CHECK(contains("dogwoodtrack_queued_openings 0"));
+    CHECK(contains("dogwoodtrack_load_limit{service="));
+}
