--- a/src/libdogwoodtrack/carried/load/spill.cpp
+++ b/src/libdogwoodtrack/carried/load/spill.cpp
@@ -42,8 +42,8 @@
 // least as short as this one.
 auto assumed_shortage(const spill_input &input, const spill_target &it)
     -> float {
-    const auto known = it.evacuated ? std::max(0.0F, it.load.demand)
-                                    : shortage_of(it.load);
+    const auto known =
+        it.evacuated ? std::max(0.0F, it.load.demand) : shortage_of(it.load);
     return it.reachable && it.age < late_load_age
                ? known
                : std::max(known, shortage_of(input.own));
@@ -67,8 +67,7 @@
 // x <= 1 / (1 - cost / target latency).
 auto kept_demand(const spill_input &input, const spill_target &target)
     -> float {
-    const auto cost =
-        leaving_cost_ms(input, target) / target_latency_ms(input);
+    const auto cost = leaving_cost_ms(input, target) / target_latency_ms(input);
     return cost >= 1 && input.own.limit > 0
                ? input.own.demand
                : input.own.limit / std::max(negligible, 1 - cost);
@@ -93,9 +92,8 @@
         // Targets of about the same cost share the load, so that a small
         // change of the costs moves little of it from one to the other.
         const auto cost = 1 + leaving_cost_ms(input, one);
-        all.push_back({.target = &one,
-                       .room = room,
-                       .weight = room / (cost * cost)});
+        all.push_back(
+            {.target = &one, .room = room, .weight = room / (cost * cost)});
     }
     return all;
 }
@@ -143,17 +141,16 @@
 auto next_share(const spill_input &input, const allotment &it) -> float {
     const auto demand = input.own.demand;
     const auto wanted = it.taken / demand;
-    const auto now =
-        share_of(input.previous, it.target->load.failure_domain);
+    const auto now = share_of(input.previous, it.target->load.failure_domain);
     if (now <= 0 && wanted < min_share)
         return 0;
-    const auto steps = std::clamp(
-        static_cast<float>(input.interval.count()) / step_interval_ms, 0.0F,
-        4.0F);
-    const auto equal_part = free_capacity(*it.target) /
-                            static_cast<float>(input.others.size());
-    const auto growth = std::max(max_growth * equal_part / demand,
-                                 max_relative_growth * now);
+    const auto steps = std::clamp(static_cast<float>(input.interval.count()) /
+                                      step_interval_ms,
+                                  0.0F, 4.0F);
+    const auto equal_part =
+        free_capacity(*it.target) / static_cast<float>(input.others.size());
+    const auto growth =
+        std::max(max_growth * equal_part / demand, max_relative_growth * now);
     const auto rise = steps * std::min(max_step, growth);
     const auto next = std::clamp(wanted, now - steps * max_step, now + rise);
     return std::min(next, usable_capacity(input, *it.target) / demand);
@@ -163,9 +160,8 @@
 
 auto leaving_cost_ms(const spill_input &input, const spill_target &target)
     -> float {
-    const auto longer_ms = input.own.limit > 0
-                               ? target.load.service_ms - input.own.service_ms
-                               : 0;
+    const auto longer_ms =
+        input.own.limit > 0 ? target.load.service_ms - input.own.service_ms : 0;
     return std::max(0.0F, static_cast<float>(target.round_trip.count()) +
                               input.price_ms_per_kib * input.request_kib +
                               longer_ms);
--- a/src/libdogwoodtrack/carried/load/spill.hpp
+++ b/src/libdogwoodtrack/carried/load/spill.hpp
@@ -23,7 +23,7 @@
     /// Cost of one KiB that crosses to another domain, in milliseconds of a
     /// caller's waiting time.
     float price_ms_per_kib = 0;
-    float request_kib = 0; ///< mean size of a request, both directions
+    float request_kib = 0;          ///< mean size of a request, both directions
     milliseconds target_latency{0}; ///< 0 if unknown
     milliseconds interval{0};       ///< since the previous decision
 };
--- a/src/libdogwoodtrack/carried/load/spill_report.cpp
+++ b/src/libdogwoodtrack/carried/load/spill_report.cpp
@@ -16,9 +16,10 @@
 
 auto share_of(const std::vector<spill_share> &shares, std::uint32_t domain)
     -> float {
-    const auto at = std::find_if(
-        shares.begin(), shares.end(),
-        [&](const auto &one) { return one.failure_domain == domain; });
+    const auto at =
+        std::find_if(shares.begin(), shares.end(), [&](const auto &one) {
+            return one.failure_domain == domain;
+        });
     return at == shares.end() ? 0 : at->share;
 }
 
@@ -42,9 +43,8 @@
 
 auto set_share(std::vector<spill_share> &shares, std::uint32_t domain,
                float share) -> void {
-    std::erase_if(shares, [&](const auto &one) {
-        return one.failure_domain == domain;
-    });
+    std::erase_if(
+        shares, [&](const auto &one) { return one.failure_domain == domain; });
     if (share > 0)
         shares.push_back({.failure_domain = domain, .share = share});
 }
@@ -52,12 +52,10 @@
 auto log_spill_change(const spill_input &input, std::uint32_t domain,
                       float before, float after) -> void {
     const auto at = std::find_if(
-        input.others.begin(), input.others.end(), [&](const auto &one) {
-            return one.load.failure_domain == domain;
-        });
-    const auto target = at == input.others.end()
-                            ? spill_target{.age = max_load_age}
-                            : *at;
+        input.others.begin(), input.others.end(),
+        [&](const auto &one) { return one.load.failure_domain == domain; });
+    const auto target =
+        at == input.others.end() ? spill_target{.age = max_load_age} : *at;
     log_event(severity::info, "spill_changed",
               {{"service", fmt::format("{:016x}", input.own.service)},
                {"domain", fmt::format("{:08x}", domain)},
@@ -82,11 +80,10 @@
     float samples = 0;
     for (const auto &route : in_force.routes) {
         const auto found = flows.profiles.find(route.address);
-        const auto names =
-            std::any_of(route.services.begin(), route.services.end(),
-                        [&](const auto &one) {
-                            return one.service == service && one.weight > 0;
-                        });
+        const auto names = std::any_of(
+            route.services.begin(), route.services.end(), [&](const auto &one) {
+                return one.service == service && one.weight > 0;
+            });
         if (!names || found == flows.profiles.end())
             continue;
         const auto n = static_cast<float>(found->second.samples);
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
@@ -23,7 +23,8 @@
 }
 
 // Applies the speeds and limits of the plan to the upstreams of the list.
-auto apply_speeds(upstream_table &table, const std::vector<upstream_index> &list,
+auto apply_speeds(upstream_table &table,
+                  const std::vector<upstream_index> &list,
                   const service_plan &plan) -> void {
     for (const auto i : list) {
         table.all[i].planned_speed = 1;
@@ -46,9 +47,9 @@
     index.on_probation.clear();
     for (const auto i : list) {
         const auto &it = table.all[i];
-        auto weight = static_cast<float>(
-                          std::max<unsigned>(1, it.record.slots)) *
-                      it.planned_speed;
+        auto weight =
+            static_cast<float>(std::max<unsigned>(1, it.record.slots)) *
+            it.planned_speed;
         if (now < it.warm_at)
             weight /= cold_load_factor;
         auto &line = domain_of(index, it.record.failure_domain).upstreams;
@@ -109,7 +110,8 @@
         const auto &it = table.all[at];
         const auto domain = it.record.failure_domain;
         if (may_get_flow(it, wanted, domain) &&
-            receives_flows(plan, own, domain) && is_on_probation(it, now) && is_candidate(it, at, wanted, now))
+            receives_flows(plan, own, domain) && is_on_probation(it, now) &&
+            is_candidate(it, at, wanted, now))
             return at;
     }
     return no_upstream;
@@ -270,7 +272,8 @@
     if (found == table.placeable.end() || found->second.empty())
         return no_upstream;
     auto &index = refresh_index(table, found->second, plan, now);
-    auto chosen = find_trial(table, index, wanted, plan, position.failure_domain, now);
+    auto chosen =
+        find_trial(table, index, wanted, plan, position.failure_domain, now);
     if (chosen != no_upstream)
         return chosen;
     const auto point = next_point(index, position.rank);
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -140,8 +140,8 @@
     -> upstream_index {
     auto chosen = no_upstream;
     if (wanted.plan != nullptr)
-        chosen = choose_planned_upstream(table, wanted, *wanted.plan, position,
-                                         now);
+        chosen =
+            choose_planned_upstream(table, wanted, *wanted.plan, position, now);
     if (chosen == no_upstream)
         chosen = choose_by_walk(table, wanted, position, now);
     if (chosen == no_upstream)
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -28,24 +28,24 @@
 };
 
 /// Chooses an upstream for a new flow: the one with the lowest load relative to
-/// its speed. With a load plan, `choose_planned_upstream` chooses, and the rules
-/// below apply only if it finds no candidate. The load of upstreams in other failure domains counts as higher
-/// than it is, so that the own domain is preferred. An upstream that left
-/// openings unanswered, is ejected (see `is_ejected`) or is on probation (see
-/// `is_on_probation`) is avoided: unless it is ejected, it now and then gets a
-/// single flow as a trial of whether it answers again. On probation it gets
-/// trial flows only from the balancer that ejected it, and none with
-/// non-idempotent requests. If every upstream is excluded, cut off, or avoided
-/// and may get no trial flow now, the one with the lowest load is chosen all
-/// the same. Updates `upstream_stats::last_trial` of an avoided upstream that
-/// is chosen. Returns `no_upstream` if the service has no upstream that may get
-/// new flows.
+/// its speed. With a load plan, `choose_planned_upstream` chooses, and the
+/// rules below apply only if it finds no candidate. The load of upstreams in
+/// other failure domains counts as higher than it is, so that the own domain is
+/// preferred. An upstream that left openings unanswered, is ejected (see
+/// `is_ejected`) or is on probation (see `is_on_probation`) is avoided: unless
+/// it is ejected, it now and then gets a single flow as a trial of whether it
+/// answers again. On probation it gets trial flows only from the balancer that
+/// ejected it, and none with non-idempotent requests. If every upstream is
+/// excluded, cut off, or avoided and may get no trial flow now, the one with
+/// the lowest load is chosen all the same. Updates `upstream_stats::last_trial`
+/// of an avoided upstream that is chosen. Returns `no_upstream` if the service
+/// has no upstream that may get new flows.
 auto choose_upstream(upstream_table &table, const new_flow &wanted,
                      const domain_position &position, time_point now)
     -> upstream_index;
 
-/// Whether the upstream at `index` is neither excluded, cut off, nor avoided. An
-/// avoided upstream is a candidate if it may get a trial flow now.
+/// Whether the upstream at `index` is neither excluded, cut off, nor avoided.
+/// An avoided upstream is a candidate if it may get a trial flow now.
 auto is_candidate(const upstream &it, upstream_index index,
                   const new_flow &wanted, time_point now) -> bool;
 
--- a/src/libdogwoodtrack/carried/upstreams/upstream_speeds.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_speeds.cpp
@@ -16,7 +16,7 @@
 constexpr float min_speed = 0.1F;
 constexpr float max_speed = 4;
 /// Answers at speed 1 that are added to those of each upstream.
-constexpr float prior_answers = 3;
+constexpr float prior_answers = 6;
 /// Weight of an upstream in the mean is its number of answers, at most this.
 constexpr float max_weight = 8;
 constexpr float recent_half_life_ms = 500;
@@ -24,7 +24,7 @@
 /// `recent` replaces `earlier` when they differ by this many standard
 /// deviations. With response times distributed exponentially, a smaller value
 /// found changes of speed in noise.
-constexpr float change_threshold = 3;
+constexpr float change_threshold = 3.5F;
 /// Part of the target latency that a request may spend at the upstream.
 constexpr float latency_share = 0.5F;
 /// More requests waiting for each slot would keep it no busier.
@@ -120,8 +120,8 @@
     if (mean_ms <= 0)
         return;
     const auto total = total_of(it);
-    const auto expected_ms = (total.ms + mean_ms * prior_answers) /
-                             (total.answers + prior_answers);
+    const auto expected_ms =
+        (total.ms + mean_ms * prior_answers) / (total.answers + prior_answers);
     const auto steps = elapsed_ms / step_interval_ms;
     const auto speed =
         std::clamp(mean_ms / expected_ms, it.speed * std::pow(max_fall, steps),
@@ -203,9 +203,8 @@
     for (auto &[code, it] : table.all) {
         update_speed(it, table.mean_ms, elapsed_ms);
         note_change(table, code, it);
-        plan.push_back({.code = code,
-                        .speed = it.speed,
-                        .limit = limit_of(table, it)});
+        plan.push_back(
+            {.code = code, .speed = it.speed, .limit = limit_of(table, it)});
     }
     std::sort(plan.begin(), plan.end(),
               [](const auto &a, const auto &b) { return a.code < b.code; });
