--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -28,3 +28,21 @@
     CHECK(status["upstreams"][0]["ejected"] == true);
     CHECK(status["upstreams"][1]["ejected"] == false);
 }
+
+TEST_CASE("the metrics show spill shares and slow upstreams while a plan is in "
+          "use") {
+    auto it = make_blackboard(1);
+    it.steering.in_force = make_configuration(1);
+    it.steering.plans.received = start;
+    it.steering.plans.plan.services = {
+        {.service = bookings,
+         .spill = {{.failure_domain = 0xab, .share = 0.25F}},
+         .upstreams = {{.code = 1, .speed = 0.2F}, {.code = 2}}}};
+    const auto has = [&](time_point now, const char *line) {
+        return metrics_text(it, {}, now).find(line) != std::string::npos;
+    };
+    const auto *share = "dogwoodtrack_spill_share{domain=\"000000ab\"} 0.25";
+    CHECK(has(start, share));
+    CHECK(has(start, "dogwoodtrack_slow_upstreams 1\n"));
+    CHECK_FALSE(has(start + plan_lifetime, share));
+}
