--- a/src/libdogwoodtrack/carried/load/spill_test.cpp
+++ b/src/libdogwoodtrack/carried/load/spill_test.cpp
@@ -235,3 +235,32 @@
     CHECK(shares[1].share == doctest::Approx(0.075));
     CHECK(mean_shares({}).empty());
 }
+
+// Guards against a line for each of the small steps of a share.
+TEST_CASE("a share is logged when it begins, ends or has changed by 0.1") {
+    std::vector<spill_share> logged;
+    const spill_input input;
+    const auto log = [&](float share) {
+        log_spill_changes(input, logged, {{2, share}});
+        return logged.empty() ? 0 : logged[0].share;
+    };
+    CHECK(log(0.05F) == 0.05F);
+    CHECK(log(0.12F) == 0.05F);
+    CHECK(log(0.16F) == 0.16F);
+    CHECK(log(0) == 0);
+}
+
+TEST_CASE("the mean size is that of the answers on the service's routes") {
+    configuration in_force;
+    flow_table flows;
+    for (std::uint16_t port = 1; port <= 3; ++port) {
+        const endpoint address{.address = 9, .port = port};
+        in_force.routes.push_back(
+            {.address = address,
+             .services = {{.service = port == 3 ? 8U : 7U}}});
+        flows.profiles[address] = {.bytes = 1'024.F * port,
+                                   .samples = port == 1 ? 30U : 10U};
+    }
+    CHECK(mean_request_kib(flows, in_force, 7) == doctest::Approx(1.25));
+    CHECK(mean_request_kib(flows, in_force, 6) == 0);
+}
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
@@ -11,6 +11,10 @@
 
 /// Upstreams on probation that are examined for one new flow.
 constexpr std::size_t max_trials_examined = 4;
+/// Bounds of the speeds in a plan. Those that `compute_speeds` returns are
+/// within them.
+constexpr float min_speed = 0.05F;
+constexpr float max_speed = 20;
 
 auto domain_of(selection_index &index, std::uint32_t failure_domain)
     -> indexed_domain & {
@@ -34,7 +38,7 @@
         auto *it = find_by_code(table, one.code);
         if (it == nullptr || !std::isfinite(one.speed) || one.speed <= 0)
             continue;
-        it->planned_speed = one.speed;
+        it->planned_speed = std::clamp(one.speed, min_speed, max_speed);
         it->planned_limit = one.limit;
     }
 }
