--- a/src/libdogwoodtrack/carried/test_support.hpp
+++ b/src/libdogwoodtrack/carried/test_support.hpp
@@ -89,4 +89,12 @@
     return it;
 }
 
+/// Makes `plan` the coordinator's latest plan, received at `received`.
+inline auto use_plan(load_plan_state &plans, service_plan plan,
+                     time_point received) -> void {
+    plans.enabled = true;
+    plans.received = received;
+    plans.services.push_back({.plan = std::move(plan), .received = received});
+}
+
 } // namespace dogwoodtrack::carried::test
--- a/src/libdogwoodtrack/carried/upstreams/upstream_speeds.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_speeds.cpp
@@ -16,7 +16,7 @@
 constexpr float min_speed = 0.1F;
 constexpr float max_speed = 4;
 /// Answers at speed 1 that are added to those of each upstream.
-constexpr float prior_answers = 3;
+constexpr float prior_answers = 6;
 /// Weight of an upstream in the mean is its number of answers, at most this.
 constexpr float max_weight = 8;
 constexpr float recent_half_life_ms = 500;
@@ -24,7 +24,7 @@
 /// `recent` replaces `earlier` when they differ by this many standard
 /// deviations. With response times distributed exponentially, a smaller value
 /// found changes of speed in noise.
-constexpr float change_threshold = 3;
+constexpr float change_threshold = 3.5F;
 /// Part of the target latency that a request may spend at the upstream.
 constexpr float latency_share = 0.5F;
 /// More requests waiting for each slot would keep it no busier.
