feeds: one type for revisions of the store, with an era

A store that is restored from an older copy assigns its revisions again, so that bare numbers of before and after cannot be compared. `store_revision` (era, number) takes the place of the number in records, versions of feeds, pulls, messages and watches. It has a defaulted comparison and no conversion from a number. On the wire an era field is added beside each revision; absent means 0, so that older balancers are understood. All eras are 0 until the store client reads the header, so nothing changes yet.

The tests of the fleet model were not built for this commit.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -72,8 +72,9 @@
                   {{"feed", std::string(to_string(static_cast<feed>(i)))},
                    {"cause", std::string(cause)},
                    {"from", to_string(endpoint{.address = from})},
-                   {"content", version.content},
-                   {"as_of", version.as_of},
+                   {"content", version.content.number},
+                   {"as_of", version.as_of.number},
+                   {"era", version.as_of.era},
                    {"complete", version.complete}});
     }
 }
@@ -128,11 +129,12 @@
                    {"detail", answer.detail}});
     else if (was_unreachable)
         log_event(severity::info, "store_back",
-                  {{"feed", feed_name}, {"as_of", answer.as_of}});
+                  {{"feed", feed_name}, {"as_of", answer.as_of.number}});
     log_event(severity::debug, "store_answer",
               {{"feed", feed_name},
                {"outcome", std::string(to_string(answer.outcome))},
-               {"as_of", answer.as_of},
+               {"as_of", answer.as_of.number},
+               {"era", answer.as_of.era},
                {"records", std::uint64_t{answer.records.size()}}});
 }
 
--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "carried/feeds/store_revision.hpp"
 #include "dogwoodtrack/types.hpp"
 
 namespace dogwoodtrack::carried {
@@ -31,8 +32,8 @@
 
 /// A complete configuration. Immutable once it is in force.
 struct configuration {
-    std::uint64_t version = 0;  ///< assigned by the operator
-    std::uint64_t revision = 0; ///< store revision of the configuration object
+    std::uint64_t version = 0;         ///< assigned by the operator
+    store_revision revision;           ///< of the configuration object
     milliseconds idle_timeout{15'000}; ///< of flows
     std::vector<route_spec> routes;    ///< sorted by address
 };
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -37,9 +37,9 @@
 constexpr std::size_t max_pushed_records = 12;
 
 // Store revision since which this balancer knows all removals of a feed.
-auto removals_since(const blackboard &board, feed what) -> std::uint64_t {
+auto removals_since(const blackboard &board, feed what) -> store_revision {
     if (what != feed::upstreams)
-        return 0;
+        return {};
     return std::max(version_of(board, what).removals_since,
                     board.steering.upstreams.forgotten);
 }
@@ -87,7 +87,7 @@
 
 // ---- sending state
 
-auto records_since(const blackboard &board, std::uint64_t since)
+auto records_since(const blackboard &board, const store_revision &since)
     -> std::vector<upstream_record> {
     std::vector<upstream_record> records;
     for (const auto &upstream : board.steering.upstreams.all) {
@@ -101,10 +101,10 @@
 // after `since` may be unknown here: the receiver then finds out what is
 // missing.
 auto send_records(const blackboard &board, std::uint32_t to,
-                  std::uint64_t since, time_point now,
+                  store_revision since, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     if (since < removals_since(board, feed::upstreams))
-        since = 0;
+        since = {};
     const auto version = make_reported_version(board, feed::upstreams, now);
     add_messages(to, split_records(records_since(board, since), since, version),
                  out);
@@ -119,7 +119,7 @@
 }
 
 auto send_state(const blackboard &board, std::uint32_t to, feed what,
-                std::uint64_t since, time_point now,
+                const store_revision &since, time_point now,
                 std::vector<outgoing_message> &out) -> void {
     if (!version_of(board, what).complete)
         return;
@@ -191,7 +191,8 @@
     auto &own_version = version_of(board, what);
     // The feed was empty at store revision `reported.as_of`: the peer read this
     // from the store itself or learned it from another balancer.
-    if (!reported.complete && reported.as_of > 0 && !own_version.complete)
+    if (!reported.complete && reported.as_of != store_revision{} &&
+        !own_version.complete)
         return adopt_confirmation(board, what, reported, now);
     if (!reported.complete)
         return;
@@ -227,7 +228,7 @@
     }
     for (std::size_t i = 0; i < feed_count; ++i) {
         if (!message.versions[i].complete)
-            send_state(board, to, static_cast<feed>(i), 0, now, out);
+            send_state(board, to, static_cast<feed>(i), {}, now, out);
     }
 }
 
@@ -294,7 +295,7 @@
         changed |= apply_record(board.steering.upstreams, record, now);
     const auto is_contiguous = own_version.complete
                                    ? message.from <= previous_as_of
-                                   : message.from == 0;
+                                   : message.from == store_revision{};
     if (!is_contiguous)
         return pull(board, from, feed::upstreams, now, out);
     board.last_pulled[static_cast<std::size_t>(feed::upstreams)] = now;
@@ -302,7 +303,7 @@
     if (!ids)
         return;
     const auto initial = !own_version.complete;
-    if (message.from == 0)
+    if (message.from == store_revision{})
         changed |= adopt_complete_set(board, *ids, message.version, now);
     adopt_version(board, feed::upstreams, message.version, now);
     board.steering.upstreams_known = true;
@@ -359,7 +360,7 @@
         out.push_back({.to = to, .message = make_digest(board, 0, now)});
 }
 
-auto forward_records(blackboard &board, std::uint64_t since,
+auto forward_records(blackboard &board, const store_revision &since,
                      std::uint32_t except, time_point now,
                      std::vector<outgoing_message> &out) -> void {
     const auto records = records_since(board, since);
--- a/src/libdogwoodtrack/carried/feeds/gossip.hpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.hpp
@@ -26,7 +26,7 @@
 /// Pushes the upstream records that changed after `since` to a few peers other
 /// than `except`, which forward them. If there are many, the peers are sent a
 /// digest instead.
-auto forward_records(blackboard &board, std::uint64_t since,
+auto forward_records(blackboard &board, const store_revision &since,
                      std::uint32_t except, time_point now,
                      std::vector<outgoing_message> &out) -> void;
 
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -62,8 +62,8 @@
     -> upstream_record {
     return {.id = id,
             .state = upstream_state::gone,
-            .revision = revision,
-            .changed_at = revision};
+            .revision = make_revision(revision),
+            .changed_at = make_revision(revision)};
 }
 
 auto make_draining(const std::string &id, std::uint64_t revision)
@@ -85,7 +85,7 @@
     -> store_answer {
     return {.what = feed::upstreams,
             .outcome = store_outcome::changed,
-            .as_of = as_of,
+            .as_of = make_revision(as_of),
             .records = std::move(records)};
 }
 
@@ -186,7 +186,7 @@
     deliver({&two.a, &two.b}, 1,
             apply_answer(two.a, make_changes({draining}, 12), now), now);
     CHECK(count_placeable(two.b) == 1);
-    CHECK(version_of(two.b, feed::upstreams).as_of == 12);
+    CHECK(version_of(two.b, feed::upstreams).as_of == make_revision(12));
     CHECK(version_of(two.b, feed::upstreams).confirmed >=
           now - milliseconds{2});
 }
@@ -254,14 +254,15 @@
 TEST_CASE("upstream records that follow a gap in the revisions do not "
           "advance the version, and the missing records are requested") {
     board_pair two;
-    records_message late{.from = 50,
-                         .version = {.content = 60, .as_of = 60},
-                         .records = {make_record("i-3", 60)}};
+    records_message late{
+        .from = make_revision(50),
+        .version = {.content = make_revision(60), .as_of = make_revision(60)},
+        .records = {make_record("i-3", 60)}};
     std::vector<outgoing_message> out;
     on_peer_message(two.a, 2, late, start + seconds{1}, out);
     REQUIRE(out.size() == 1);
-    CHECK(std::get<pull_message>(out[0].message).since == 10);
-    CHECK(version_of(two.a, feed::upstreams).as_of == 10);
+    CHECK(std::get<pull_message>(out[0].message).since == make_revision(10));
+    CHECK(version_of(two.a, feed::upstreams).as_of == make_revision(10));
 }
 
 TEST_CASE("a large configuration is split into messages and reassembled, even "
@@ -271,7 +272,8 @@
         whole.routes.push_back(
             {.address = {.address = 0xc6120002, .port = i},
              .services = {{.service = bookings, .weight = 3}}});
-    const auto parts = split_routes(whole, {.content = 4, .complete = true});
+    const auto parts =
+        split_routes(whole, {.content = make_revision(4), .complete = true});
     CHECK(parts.size() > 10);
     auto it = make_blackboard(1);
     std::vector<outgoing_message> out;
@@ -315,9 +317,9 @@
     REQUIRE(table.all[table.by_id.at("i-left")].placeable);
     auto left = make_record("i-left", 12);
     left.state = upstream_state::gone;
-    const records_message reported{.from = 10,
-                                   .version = {.content = 12,
-                                               .as_of = 12,
+    const records_message reported{.from = make_revision(10),
+                                   .version = {.content = make_revision(12),
+                                               .as_of = make_revision(12),
                                                .age = milliseconds{0},
                                                .complete = true},
                                    .records = {left}};
@@ -350,12 +352,12 @@
     auto stale = make_upstream_list(ready, 10);
     stale.may_be_stale = true;
     apply_answer(b, stale, start);
-    CHECK(version_of(b, feed::upstreams).content <= 10);
+    CHECK(version_of(b, feed::upstreams).content <= make_revision(10));
     const auto now = start + seconds{1};
     deliver({&a, &b}, 1, {{.to = 2, .message = make_digest_of(a)}}, now);
     CHECK(count_placeable(b) == 1);
-    CHECK(version_of(b, feed::upstreams).as_of == 14);
-    CHECK(version_of(b, feed::upstreams).content == 14);
+    CHECK(version_of(b, feed::upstreams).as_of == make_revision(14));
+    CHECK(version_of(b, feed::upstreams).content == make_revision(14));
 }
 
 // Guards against the same fault without a push: pages of one list are read one
@@ -382,7 +384,7 @@
     const auto now = start + seconds{1};
     deliver({&a, &b}, 1, {{.to = 2, .message = make_digest_of(a)}}, now);
     CHECK(count_placeable(b) == 0);
-    CHECK(version_of(b, feed::upstreams).as_of == 14);
+    CHECK(version_of(b, feed::upstreams).as_of == make_revision(14));
 }
 
 // Guards against upstreams that have left and are in use again after a restart:
@@ -412,7 +414,7 @@
         }
         CHECK(count_placeable(b) == 1);
         CHECK(count_placeable(a) == 1);
-        CHECK(version_of(b, feed::upstreams).as_of == 20);
+        CHECK(version_of(b, feed::upstreams).as_of == make_revision(20));
     }
 }
 
@@ -431,8 +433,8 @@
     stale.may_be_stale = true;
     apply_answer(b, stale, start + milliseconds{200});
     CHECK(count_placeable(b) == 1);
-    CHECK(version_of(b, feed::upstreams).as_of == 20);
-    CHECK(version_of(b, feed::upstreams).removals_since == 20);
+    CHECK(version_of(b, feed::upstreams).as_of == make_revision(20));
+    CHECK(version_of(b, feed::upstreams).removals_since == make_revision(20));
 }
 
 // Guards against the same after a network partition that lasts longer than
@@ -453,18 +455,19 @@
     deliver({&two.a, &two.b}, 1, {{.to = 2, .message = make_digest_of(two.a)}},
             healed);
     CHECK(count_placeable(two.b) == 1);
-    CHECK(version_of(two.b, feed::upstreams).as_of == 30);
+    CHECK(version_of(two.b, feed::upstreams).as_of == make_revision(30));
 }
 
 TEST_CASE("a set of records is complete only if all its parts start at the "
           "same revision") {
-    records_message first{.from = 0,
-                          .version = {.content = 9, .as_of = 9},
-                          .parts = 2,
-                          .records = {make_record("i-1", 5)}};
+    records_message first{
+        .from = make_revision(0),
+        .version = {.content = make_revision(9), .as_of = make_revision(9)},
+        .parts = 2,
+        .records = {make_record("i-1", 5)}};
     auto second = first;
     second.part = 1;
-    second.from = 7;
+    second.from = make_revision(7);
     partial_records partial;
     CHECK_FALSE(add_records_part(partial, 1, first));
     CHECK_FALSE(add_records_part(partial, 1, second));
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -39,7 +39,10 @@
     as_of = 2,
     age_ms = 3,
     complete = 4,
-    removals_since = 5
+    removals_since = 5,
+    content_era = 6,
+    as_of_era = 7,
+    removals_since_era = 8
 };
 enum class digest_field : protozero::pbf_tag_type {
     sender = 1,
@@ -47,7 +50,11 @@
     member = 3,
     wants_state = 4
 };
-enum class pull_field : protozero::pbf_tag_type { what = 1, since = 2 };
+enum class pull_field : protozero::pbf_tag_type {
+    what = 1,
+    since = 2,
+    since_era = 3
+};
 enum class record_field : protozero::pbf_tag_type {
     id = 1,
     delivery_id = 2,
@@ -60,7 +67,9 @@
     state = 9,
     cold_ms = 10,
     revision = 11,
-    changed_at = 12
+    changed_at = 12,
+    revision_era = 13,
+    changed_at_era = 14
 };
 enum class batch_field : protozero::pbf_tag_type {
     from = 1,
@@ -70,7 +79,9 @@
     item = 5,
     number = 6,
     revision = 7,
-    idle_ms = 8
+    idle_ms = 8,
+    from_era = 9,
+    revision_era = 10
 };
 enum class route_field : protozero::pbf_tag_type {
     address = 1,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -13,6 +13,15 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value.count()));
 }
 
+// Writes a revision and, unless it is 0, its era.
+template <typename Field>
+auto write_revision(builder<Field> &out, Field number, Field era,
+                    const store_revision &it) -> void {
+    out.add_uint64(number, it.number);
+    if (it.era > 0)
+        out.add_uint64(era, it.era);
+}
+
 auto write(builder<member_field> out, const fleet_member &it, milliseconds age)
     -> void {
     out.add_fixed32(member_field::address, it.address);
@@ -24,12 +33,15 @@
 }
 
 auto write(builder<version_field> out, const reported_version &it) -> void {
-    out.add_uint64(version_field::content, it.content);
-    out.add_uint64(version_field::as_of, it.as_of);
+    write_revision(out, version_field::content, version_field::content_era,
+                   it.content);
+    write_revision(out, version_field::as_of, version_field::as_of_era,
+                   it.as_of);
     out.add_uint64(version_field::age_ms, to_wire_ms(it.age));
     out.add_bool(version_field::complete, it.complete);
-    if (it.removals_since > 0)
-        out.add_uint64(version_field::removals_since, it.removals_since);
+    if (it.removals_since != store_revision{})
+        write_revision(out, version_field::removals_since,
+                       version_field::removals_since_era, it.removals_since);
 }
 
 auto write(builder<record_field> out, const upstream_record &it) -> void {
@@ -43,8 +55,10 @@
     out.add_uint32(record_field::slots, it.slots);
     out.add_uint32(record_field::state, static_cast<std::uint32_t>(it.state));
     out.add_uint64(record_field::cold_ms, to_wire_ms(it.cold_remaining));
-    out.add_uint64(record_field::revision, it.revision);
-    out.add_uint64(record_field::changed_at, it.changed_at);
+    write_revision(out, record_field::revision, record_field::revision_era,
+                   it.revision);
+    write_revision(out, record_field::changed_at, record_field::changed_at_era,
+                   it.changed_at);
 }
 
 auto write(builder<route_field> out, const route_spec &it) -> void {
@@ -77,13 +91,13 @@
     -> void {
     builder<pull_field> out(envelope, envelope_field::pull);
     out.add_uint32(pull_field::what, static_cast<std::uint32_t>(it.what));
-    out.add_uint64(pull_field::since, it.since);
+    write_revision(out, pull_field::since, pull_field::since_era, it.since);
 }
 
 auto write_body(builder<envelope_field> &envelope, const records_message &it)
     -> void {
     builder<batch_field> out(envelope, envelope_field::records);
-    out.add_uint64(batch_field::from, it.from);
+    write_revision(out, batch_field::from, batch_field::from_era, it.from);
     write({out, batch_field::version}, it.version);
     out.add_uint32(batch_field::part, it.part);
     out.add_uint32(batch_field::parts, it.parts);
@@ -95,7 +109,8 @@
     -> void {
     builder<batch_field> out(envelope, envelope_field::routes);
     out.add_uint64(batch_field::number, it.configuration_part.version);
-    out.add_uint64(batch_field::revision, it.configuration_part.revision);
+    write_revision(out, batch_field::revision, batch_field::revision_era,
+                   it.configuration_part.revision);
     out.add_uint64(batch_field::idle_ms,
                    to_wire_ms(it.configuration_part.idle_timeout));
     write({out, batch_field::version}, it.version);
@@ -182,14 +197,17 @@
 }
 
 auto split_records(const std::vector<upstream_record> &records,
-                   std::uint64_t from, const reported_version &version)
+                   const store_revision &from, const reported_version &version)
     -> std::vector<records_message> {
     constexpr std::size_t fixed_fields_size = 85;
+    constexpr std::size_t eras_size = 22;
     return split<records_message, upstream_record>(
         records, {.from = from, .version = version, .records = {}},
         [](records_message & it) -> auto & { return it.records; },
         [](const upstream_record &it) {
-            return std::min(max_record_size, fixed_fields_size + it.id.size());
+            const auto eras = it.changed_at.era > 0 ? eras_size : 0;
+            return std::min(max_record_size,
+                            fixed_fields_size + eras + it.id.size());
         });
 }
 
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -15,11 +15,11 @@
 
 /// Version of a feed as reported by a peer, see `feed_version`.
 struct reported_version {
-    std::uint64_t content = 0;
-    std::uint64_t as_of = 0;
+    store_revision content;
+    store_revision as_of;
     milliseconds age{0}; ///< since the store last confirmed `as_of`
     bool complete = false;
-    std::uint64_t removals_since = 0;
+    store_revision removals_since;
 };
 
 /// A member as reported by a peer.
@@ -40,13 +40,13 @@
 /// Requests everything in a feed that changed after store revision `since`.
 struct pull_message {
     feed what{};
-    std::uint64_t since = 0;
+    store_revision since;
 };
 
 /// One part of the upstream records that changed after store revision `from`. A
-/// set with `from` 0 has all upstreams that the sender knows.
+/// set without `from` has all upstreams that the sender knows.
 struct records_message {
-    std::uint64_t from = 0;
+    store_revision from;
     reported_version version;
     std::uint32_t part = 0;  ///< index of this part
     std::uint32_t parts = 1; ///< number of parts
@@ -124,7 +124,7 @@
 /// Splits `records`, which changed after store revision `from`, into as many
 /// messages as the datagram limit requires, at least one. Thread safe.
 auto split_records(const std::vector<upstream_record> &records,
-                   std::uint64_t from, const reported_version &version)
+                   const store_revision &from, const reported_version &version)
     -> std::vector<records_message>;
 
 /// Splits a configuration into as many messages as the datagram limit requires,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -51,10 +51,16 @@
     while (in.next()) {
         switch (in.tag()) {
         case version_field::content:
-            it.content = in.get_uint64();
+            it.content.number = in.get_uint64();
+            break;
+        case version_field::content_era:
+            it.content.era = in.get_uint64();
             break;
         case version_field::as_of:
-            it.as_of = in.get_uint64();
+            it.as_of.number = in.get_uint64();
+            break;
+        case version_field::as_of_era:
+            it.as_of.era = in.get_uint64();
             break;
         case version_field::age_ms:
             it.age = to_milliseconds(in.get_uint64());
@@ -63,7 +69,10 @@
             it.complete = read_flag(in);
             break;
         case version_field::removals_since:
-            it.removals_since = in.get_uint64();
+            it.removals_since.number = in.get_uint64();
+            break;
+        case version_field::removals_since_era:
+            it.removals_since.era = in.get_uint64();
             break;
         default:
             in.skip();
@@ -112,10 +121,16 @@
             it.cold_remaining = to_milliseconds(in.get_uint64());
             break;
         case record_field::revision:
-            it.revision = in.get_uint64();
+            it.revision.number = in.get_uint64();
+            break;
+        case record_field::revision_era:
+            it.revision.era = in.get_uint64();
             break;
         case record_field::changed_at:
-            it.changed_at = in.get_uint64();
+            it.changed_at.number = in.get_uint64();
+            break;
+        case record_field::changed_at_era:
+            it.changed_at.era = in.get_uint64();
             break;
         default:
             in.skip();
@@ -214,7 +229,10 @@
                 in.get_uint32() == 0 ? feed::configuration : feed::upstreams;
             break;
         case pull_field::since:
-            it.since = in.get_uint64();
+            it.since.number = in.get_uint64();
+            break;
+        case pull_field::since_era:
+            it.since.era = in.get_uint64();
             break;
         default:
             in.skip();
@@ -228,7 +246,10 @@
     while (in.next()) {
         switch (in.tag()) {
         case batch_field::from:
-            it.from = in.get_uint64();
+            it.from.number = in.get_uint64();
+            break;
+        case batch_field::from_era:
+            it.from.era = in.get_uint64();
             break;
         case batch_field::version:
             it.version = read_version(in.get_message());
@@ -257,7 +278,10 @@
             it.configuration_part.version = in.get_uint64();
             break;
         case batch_field::revision:
-            it.configuration_part.revision = in.get_uint64();
+            it.configuration_part.revision.number = in.get_uint64();
+            break;
+        case batch_field::revision_era:
+            it.configuration_part.revision.era = in.get_uint64();
             break;
         case batch_field::idle_ms:
             it.configuration_part.idle_timeout =
--- a/src/libdogwoodtrack/carried/feeds/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -11,7 +11,7 @@
 
 /// A configuration that is being received in parts.
 struct partial_configuration {
-    std::uint64_t revision = 0;
+    store_revision revision;
     /// Routes of each part; empty until the part is received.
     std::vector<std::vector<route_spec>> parts;
     std::size_t missing = 0; ///< parts not yet received
@@ -20,8 +20,8 @@
 /// A set of records that is being received in parts.
 struct partial_records {
     std::uint32_t sender = 0;  ///< address of the balancer that sends the set
-    std::uint64_t from = 0;    ///< see `records_message::from`
-    std::uint64_t as_of = 0;   ///< store revision that the set shows
+    store_revision from;       ///< see `records_message::from`
+    store_revision as_of;      ///< store revision that the set shows
     std::vector<bool> arrived; ///< which parts were received
     std::size_t missing = 0;   ///< parts not yet received
     /// Identifiers of the upstreams in the parts received.
--- a/src/libdogwoodtrack/carried/feeds/store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store.hpp
@@ -35,7 +35,7 @@
 struct store_answer {
     feed what{};
     store_outcome outcome = store_outcome::failed;
-    std::uint64_t as_of = 0; ///< the answer shows the store at this revision
+    store_revision as_of; ///< the answer shows the store at this revision
     /// The store's current revision may be later than `as_of`.
     bool may_be_stale = false;
     std::vector<upstream_record> records;
@@ -54,7 +54,7 @@
     /// Accept a cheaper list that may be seconds old.
     bool may_be_stale = false;
     /// Watch: report the changes after this store revision.
-    std::uint64_t since = 0;
+    store_revision since;
     milliseconds wait{0}; ///< watch: how long to wait for a change
 };
 
--- a/src/libdogwoodtrack/carried/feeds/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_answers.cpp
@@ -46,7 +46,7 @@
 // store, has changed. A removal may be known by an earlier revision than the
 // answer gives it.
 auto revision_of_change(const upstream_table &table,
-                        const upstream_record &record) -> std::uint64_t {
+                        const upstream_record &record) -> store_revision {
     const auto found = table.by_id.find(record.id);
     if (found == table.by_id.end())
         return record.changed_at;
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -95,7 +95,7 @@
 auto decide_store_call(blackboard &board, feed what, time_point now) -> bool {
     const auto &own_version = version_of(board, what);
     auto &call = call_state_of(board, what);
-    if (own_version.as_of == 0)
+    if (own_version.as_of == store_revision{})
         return now - board.started >= start_delay(board);
     if (now - board.started < rank_unknown_time(board))
         return call.needs_list || (board.first_start && is_seed(board));
@@ -153,7 +153,7 @@
     // Except at the first start of the system, a cheaper list, possibly stale,
     // is enough: the watch that follows, by this balancer or a peer, brings the
     // state up to date.
-    if (own_version.as_of == 0)
+    if (own_version.as_of == store_revision{})
         return store_call{
             .what = what, .list = true, .may_be_stale = !board.first_start};
     if (call.needs_list)
--- a/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
@@ -119,7 +119,7 @@
     CHECK(it.calls[1].taken_over);
     const store_answer no_changes{.what = feed::upstreams,
                                   .outcome = store_outcome::changed,
-                                  .as_of = 11};
+                                  .as_of = make_revision(11)};
     std::vector<outgoing_message> out;
     on_store_answer(it, no_changes, now, out);
     CHECK(it.calls[1].taken_over);
@@ -157,7 +157,7 @@
     const auto watch = next_store_call(it, feed::upstreams, start + seconds{1});
     REQUIRE(watch);
     CHECK_FALSE(watch->list);
-    CHECK(watch->since == 10);
+    CHECK(watch->since == make_revision(10));
 }
 
 TEST_CASE("once the store has dropped its history, or its changes exceed the "
--- a/src/libdogwoodtrack/carried/flows/steering_test.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering_test.cpp
@@ -333,7 +333,7 @@
     steer(state, later_packet(7, first.code, 100), start + milliseconds{5});
     auto leaving = state.upstreams.all[first.to].record;
     leaving.state = upstream_state::draining;
-    leaving.revision = 50;
+    leaving.revision = make_revision(50);
     apply_record(state.upstreams, leaving, start + seconds{1});
     const auto retransmitted =
         steer(state, opening_packet(7, 1), start + milliseconds{1'200});
--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -7,6 +7,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include "carried/feeds/store_revision.hpp"
 #include "dogwoodtrack/types.hpp"
 
 namespace dogwoodtrack::carried {
@@ -20,8 +21,8 @@
 
 /// How much of a feed this balancer knows.
 struct feed_version {
-    std::uint64_t content = 0; ///< store revision of the last change applied
-    std::uint64_t as_of = 0; ///< no change up to this store revision is missing
+    store_revision content; ///< of the last change applied
+    store_revision as_of;   ///< no change up to this revision is missing
     /// When the store last confirmed this state as current.
     time_point confirmed{};
     /// The whole feed was read at least once, from the store or from a peer.
@@ -29,7 +30,7 @@
     /// Upstreams only: a record of every upstream that was removed after this
     /// store revision is known. One removed earlier may never have been known
     /// here, or was forgotten.
-    std::uint64_t removals_since = 0;
+    store_revision removals_since;
 };
 
 /// A balancer known from gossip. Its address identifies it, since all balancers
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -49,7 +49,8 @@
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
                        "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
-                       to_string(static_cast<feed>(i)), it.versions[i].as_of,
+                       to_string(static_cast<feed>(i)),
+                       it.versions[i].as_of.number,
                        age_ms(it.versions[i].confirmed, now));
 }
 
@@ -105,7 +106,7 @@
         fmt::format_to(std::back_inserter(out),
                        R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
                        i == 0 ? "" : ",", to_string(static_cast<feed>(i)),
-                       it.versions[i].as_of,
+                       it.versions[i].as_of.number,
                        age_ms(it.versions[i].confirmed, now));
     fmt::format_to(std::back_inserter(out), R"(}},"upstreams":[)");
     auto first = true;
--- a/src/libdogwoodtrack/carried/test_support.hpp
+++ b/src/libdogwoodtrack/carried/test_support.hpp
@@ -8,6 +8,11 @@
 inline const service_key bookings = hash_name64("bookings");
 inline const endpoint booking_address{.address = 0xc6120001, .port = 443};
 
+inline auto make_revision(std::uint64_t number, std::uint64_t era = 0)
+    -> store_revision {
+    return {.era = era, .number = number};
+}
+
 /// Record of a ready upstream with two slots.
 inline auto make_record(const std::string &id, std::uint64_t revision,
                         std::uint32_t failure_domain = 1) -> upstream_record {
@@ -20,15 +25,15 @@
             .failure_domain = failure_domain,
             .slots = 2,
             .state = upstream_state::ready,
-            .revision = revision,
-            .changed_at = revision};
+            .revision = make_revision(revision),
+            .changed_at = make_revision(revision)};
 }
 
 inline auto make_configuration(std::uint64_t revision)
     -> std::shared_ptr<configuration> {
     auto it = std::make_shared<configuration>();
     it->version = revision;
-    it->revision = revision;
+    it->revision = make_revision(revision);
     it->routes.push_back({.address = booking_address,
                           .kind = request_kind::non_idempotent,
                           .services = {{.service = bookings}}});
@@ -52,7 +57,7 @@
                                std::uint64_t as_of) -> store_answer {
     return {.what = feed::upstreams,
             .outcome = store_outcome::listed,
-            .as_of = as_of,
+            .as_of = make_revision(as_of),
             .records = std::move(records)};
 }
 
@@ -61,7 +66,7 @@
     -> store_answer {
     return {.what = feed::configuration,
             .outcome = store_outcome::listed,
-            .as_of = as_of,
+            .as_of = make_revision(as_of),
             .latest_configuration = make_configuration(revision)};
 }
 
--- a/src/libdogwoodtrack/carried/upstreams/dead_upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/dead_upstreams_test.cpp
@@ -133,8 +133,8 @@
         -> upstream_record {
         return {.id = id,
                 .state = upstream_state::gone,
-                .revision = revision,
-                .changed_at = revision};
+                .revision = make_revision(revision),
+                .changed_at = make_revision(revision)};
     }
 
     auto make_removal(upstream_index index, std::uint64_t revision) const
@@ -373,11 +373,11 @@
         overwritten.born = born;
         overwritten.address.port = 9;
         overwritten.service = hash_name64("lager");
-        overwritten.revision = overwritten.changed_at = 90;
+        overwritten.revision = overwritten.changed_at = make_revision(90);
         apply_record(table, overwritten, it.now);
         it.run(milliseconds{300});
         auto restored = own;
-        restored.revision = restored.changed_at = 91;
+        restored.revision = restored.changed_at = make_revision(91);
         apply_record(table, restored, it.now);
         it.run(seconds{1});
         CHECK(it.resets.empty());
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -231,8 +231,8 @@
 
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
-                    std::uint64_t as_of, upstream_state state, time_point now)
-    -> bool {
+                    const store_revision &as_of, upstream_state state,
+                    time_point now) -> bool {
     auto changed = false;
     for (const auto &[id, index] : table.by_id) {
         auto &it = table.all[index];
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "carried/feeds/configuration.hpp"
+#include "carried/feeds/store_revision.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -35,8 +36,8 @@
     std::uint16_t slots = 1; ///< number of requests processed in parallel
     upstream_state state = upstream_state::ready;
     milliseconds cold_remaining{0}; ///< time until the upstream is warmed up
-    std::uint64_t revision = 0;   ///< store revision of the entry's last change
-    std::uint64_t changed_at = 0; ///< first store revision that shows `state`
+    store_revision revision;        ///< of the entry's last change
+    store_revision changed_at;      ///< first store revision that shows `state`
 };
 
 struct endpoint_hash {
@@ -120,7 +121,7 @@
     boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
         by_address;
     /// Highest `changed_at` of the upstreams that were removed from the table.
-    std::uint64_t forgotten = 0;
+    store_revision forgotten;
     /// Upstreams with failures not yet reported to their outlier detector.
     std::vector<upstream_index> unreported_failures;
     /// Upstreams that this instance has ejected, or whose probation it has
@@ -167,8 +168,8 @@
 /// Precondition: `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
-                    std::uint64_t as_of, upstream_state state, time_point now)
-    -> bool;
+                    const store_revision &as_of, upstream_state state,
+                    time_point now) -> bool;
 
 /// Sets the state of upstreams that have been `lapsed` for `lapse_grace` to
 /// `gone`, and removes those that have been `gone` for `retention`.
--- a/src/libdogwoodtrack/carried/upstreams/upstreams_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams_test.cpp
@@ -17,8 +17,8 @@
                    upstream_state state) -> upstream_record {
     return {.id = id,
             .state = state,
-            .revision = revision,
-            .changed_at = revision + 1};
+            .revision = make_revision(revision),
+            .changed_at = make_revision(revision + 1)};
 }
 
 } // namespace
@@ -86,7 +86,7 @@
           "by code") {
     upstream_table table;
     apply_record(table, make_record("i-1", 5), start);
-    retire_missing(table, {}, 8, upstream_state::lapsed, start);
+    retire_missing(table, {}, make_revision(8), upstream_state::lapsed, start);
     const auto code = find(table, "i-1").code;
     expire_upstreams(table, seconds{60}, start + lapse_grace / 2);
     CHECK(find(table, "i-1").placeable);
@@ -105,8 +105,8 @@
     draining.state = upstream_state::draining;
     apply_record(table, draining, start);
     apply_record(table, make_record("i-2", 6), start);
-    retire_missing(table, {}, 8, upstream_state::lapsed, start);
+    retire_missing(table, {}, make_revision(8), upstream_state::lapsed, start);
     CHECK(find(table, "i-1").record.state == upstream_state::gone);
-    retire_missing(table, {}, 9, upstream_state::gone, start);
+    retire_missing(table, {}, make_revision(9), upstream_state::gone, start);
     CHECK(find(table, "i-2").record.state == upstream_state::lapsed);
 }
--- a/src/libstandin/fleet_simulation.cpp
+++ b/src/libstandin/fleet_simulation.cpp
@@ -140,7 +140,7 @@
         schedule_after(downtime, [this, i] {
             auto &restarted = balancers_[i];
             restarted.state = make_blackboard(static_cast<unsigned>(i), false);
-            restarted.last_revision = 0;
+            restarted.last_revision = {};
             ++restarted.incarnation;
             restarted.up = true;
             restarted.next_digest = now_;
--- a/src/libstandin/fleet_simulation.hpp
+++ b/src/libstandin/fleet_simulation.hpp
@@ -93,8 +93,8 @@
     bool in_rotation = false;
     unsigned missed_checks = 0;    ///< consecutive failed rotation checks
     std::uint64_t incarnation = 1; ///< rises with each restart
-    /// Revision of the configuration that the balancer used last; 0: none.
-    std::uint64_t last_revision = 0;
+    /// Revision of the configuration that the balancer used last.
+    store_revision last_revision;
     time_point next_digest{};
     time_point next_reset_check{};
     /// Opening packets that the balancer holds: when it last steered each, and
--- a/src/libstandin/fleet_simulation_store.cpp
+++ b/src/libstandin/fleet_simulation_store.cpp
@@ -8,8 +8,8 @@
 auto simulation::write_entry(std::size_t i, upstream_state state) -> void {
     auto &record = upstreams_[i].record;
     record.state = state;
-    record.revision = ++revision_;
-    record.changed_at = revision_;
+    record.revision = {.number = ++revision_};
+    record.changed_at = record.revision;
     if (state == upstream_state::gone)
         entries_.erase(record.id);
     else
@@ -21,7 +21,7 @@
 auto simulation::write_configuration() -> void {
     configuration next;
     next.version = ++revision_;
-    next.revision = revision_;
+    next.revision = {.number = revision_};
     next.routes.push_back({.address = service_address,
                            .target_latency = options_.target_latency,
                            .services = {{.service = bookings}}});
@@ -36,7 +36,7 @@
 
 auto simulation::make_store_answer(const store_call &call) const
     -> store_answer {
-    store_answer it{.what = call.what, .as_of = revision_};
+    store_answer it{.what = call.what, .as_of = {.number = revision_}};
     it.outcome = call.list ? store_outcome::listed : store_outcome::changed;
     it.may_be_stale = call.may_be_stale;
     if (call.what == feed::configuration) {
