--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "carried/feeds/gossip.hpp"
+#include "carried/feeds/restored_store.hpp"
 #include "carried/feeds/store_answers.hpp"
 #include "carried/feeds/store_watch.hpp"
 #include "carried/http_responder.hpp"
@@ -79,6 +80,30 @@
     }
 }
 
+// Logs a change of the era in force, because of the answer or message `cause`.
+// `from` is the address of the balancer that sent it, 0 for the store.
+auto log_era_change(const balancer_context &it, const store_era_state &before,
+                    std::string_view cause, std::uint32_t from, time_point now)
+    -> void {
+    const auto &era = it.state.store_era;
+    if (era.known == before.known && era.era == before.era)
+        return;
+    // The first era of a store that was never restored is no change.
+    if (!before.known && era.era == 0)
+        return;
+    const auto silence = now - last_confirmation(it.state);
+    log_event(
+        severity::info, "store_era_changed",
+        {{"era", era.era},
+         {"previous", before.era},
+         {"cause", std::string(cause)},
+         {"from", to_string(endpoint{.address = from})},
+         {"answers", std::uint64_t{era.evidence}},
+         {"unconfirmed_ms",
+          std::int64_t{
+              std::chrono::duration_cast<milliseconds>(silence).count()}}});
+}
+
 // ---- peers
 
 auto send_messages(balancer_context &it,
@@ -110,7 +135,10 @@
         }
         const auto sender = ntohl(from.sin_addr.s_addr);
         const auto before = it.state.versions;
-        on_peer_message(it.state, sender, *message, monotonic::now(), out);
+        const auto era_before = it.state.store_era;
+        const auto now = monotonic::now();
+        on_peer_message(it.state, sender, *message, now, out);
+        log_era_change(it, era_before, message_name(*message), sender, now);
         log_version_changes(it, before, message_name(*message), sender);
     }
     send_messages(it, out);
@@ -119,8 +147,11 @@
 // ---- store
 
 auto log_store_answer(const balancer_context &it, const store_answer &answer,
-                      bool was_unreachable) -> void {
+                      bool was_unreachable, bool was_unreadable) -> void {
     const std::string feed_name(to_string(answer.what));
+    if (it.state.store_era.unreadable && !was_unreadable)
+        log_event(severity::warning, "store_era_unreadable",
+                  {{"feed", feed_name}, {"era", it.state.store_era.era}});
     if (it.state.store_unreachable)
         log_event(was_unreachable ? severity::debug : severity::warning,
                   "store_unreachable",
@@ -158,9 +189,11 @@
     for (const auto &answer : it.store.take_answers(now)) {
         const auto was_unreachable = it.state.store_unreachable;
         const auto before = it.state.versions;
+        const auto era_before = it.state.store_era;
         on_store_answer(it.state, answer, now, out);
+        log_era_change(it, era_before, to_string(answer.outcome), 0, now);
         schedule_next_call(it.state, answer, now);
-        log_store_answer(it, answer, was_unreachable);
+        log_store_answer(it, answer, was_unreachable, era_before.unreadable);
         report_rejected_entries(it, answer);
         log_version_changes(it, before, to_string(answer.outcome), 0);
     }
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -10,6 +10,14 @@
     return names[static_cast<std::size_t>(outcome)];
 }
 
+auto set_era(store_answer &answer, std::uint64_t era) -> void {
+    answer.as_of.era = era;
+    for (auto &record : answer.records)
+        record.revision.era = record.changed_at.era = era;
+    if (answer.latest_configuration)
+        answer.latest_configuration->revision.era = era;
+}
+
 auto version_of(blackboard &board, feed what) -> feed_version & {
     return board.versions[static_cast<std::size_t>(what)];
 }
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -4,6 +4,7 @@
 
 #include "carried/feeds/reassembly.hpp"
 #include "carried/feeds/store.hpp"
+#include "carried/feeds/store_era.hpp"
 #include "carried/flows/steering.hpp"
 #include "carried/members/fleet.hpp"
 #include "carried/members/probes.hpp"
@@ -19,6 +20,12 @@
     /// This balancer has taken over watching the store from the first balancers
     /// by `watch_rank`, which seem to have failed, see `next_store_call`.
     bool taken_over = false;
+    /// The era of the last answer was not believed.
+    bool ignored = false;
+    store_revision since; ///< of the last watch
+    /// Where to watch from if the store has gone back without a new era; else
+    /// no revision, and `feed_version::as_of` applies.
+    store_revision went_back_to;
     unsigned failures = 0;   ///< consecutive calls that were refused or failed
     time_point not_before{}; ///< earliest time of the next call
     /// Time of the last answer other than `refused` or `failed`.
@@ -73,6 +80,7 @@
     fleet members;
     probe_table probes;
     rotation_state rotation;
+    store_era_state store_era;
     std::array<feed_version, feed_count> versions{};
     std::array<store_call_state, feed_count> calls{};
     /// When each feed was last requested from a peer, or a part of it last
--- a/src/libdogwoodtrack/carried/feeds/configuration.cpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.cpp
@@ -4,6 +4,17 @@
 
 namespace dogwoodtrack::carried {
 
+auto supersedes(const configuration &next, const configuration &current)
+    -> bool {
+    if (next.revision.era > current.revision.era)
+        return next.version >= current.version;
+    if (next.revision.era < current.revision.era)
+        return next.version > current.version;
+    if (next.revision != current.revision)
+        return next.revision > current.revision;
+    return next.version > current.version;
+}
+
 auto sort_routes(configuration &it) -> void {
     std::sort(it.routes.begin(), it.routes.end(),
               [](const route_spec &a, const route_spec &b) {
--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -38,6 +38,15 @@
     std::vector<route_spec> routes;    ///< sorted by address
 };
 
+/// Whether `next` is to be put in force in place of `current`. In one era of
+/// the store the later revision is; of two with the same revision, that with
+/// the higher `version`. A configuration of a later era may come from an older
+/// copy of the store: it is put in force unless its `version`, which rises with
+/// each configuration, is lower. One of an earlier era is put in force only if
+/// its `version` is higher. Thread safe.
+auto supersedes(const configuration &next, const configuration &current)
+    -> bool;
+
 /// Sorts the routes by address, as `find_route` requires.
 auto sort_routes(configuration &it) -> void;
 
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "carried/feeds/restored_store.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/upstreams/outlier_detection.hpp"
 
@@ -80,6 +81,7 @@
     auto &own_version = version_of(board, what);
     auto &call = board.calls[static_cast<std::size_t>(what)];
     own_version.as_of = std::max(own_version.as_of, reported.as_of);
+    adopt_peer_era(board, reported, now);
     own_version.confirmed = std::max(own_version.confirmed, now - reported.age);
     call.last_peer_confirmation =
         std::max(call.last_peer_confirmation, now - reported.age);
@@ -189,6 +191,8 @@
                      const reported_version &reported, time_point now,
                      std::vector<outgoing_message> &out) -> void {
     auto &own_version = version_of(board, what);
+    if (!is_believable(board.store_era, reported))
+        return;
     // The feed was empty at store revision `reported.as_of`: the peer read this
     // from the store itself or learned it from another balancer.
     if (!reported.complete && reported.as_of != store_revision{} &&
@@ -277,7 +281,7 @@
     auto &own_version = version_of(board, feed::upstreams);
     const auto retired =
         retire_missing(board.steering.upstreams, ids, reported.as_of,
-                       upstream_state::gone, now);
+                       missing_state(own_version, reported), now);
     if (retired)
         own_version.content = std::max(own_version.content, reported.as_of);
     if (!own_version.complete || own_version.as_of < reported.removals_since)
@@ -289,10 +293,19 @@
                     const records_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
     auto &own_version = version_of(board, feed::upstreams);
+    if (!is_believable(board.store_era, message))
+        return;
     const auto previous_as_of = own_version.as_of;
     auto changed = false;
-    for (const auto &record : message.records)
-        changed |= apply_record(board.steering.upstreams, record, now);
+    std::vector<upstream_record> corrections;
+    for (const auto &record : message.records) {
+        if (!apply_record(board.steering.upstreams, record, now))
+            continue;
+        changed = true;
+        add_correction(board.steering.upstreams, record, previous_as_of,
+                       corrections);
+    }
+    send_corrections(board, from, corrections, now, out);
     const auto is_contiguous = own_version.complete
                                    ? message.from <= previous_as_of
                                    : message.from == store_revision{};
@@ -318,15 +331,22 @@
                     const routes_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
     auto &own_version = version_of(board, feed::configuration);
-    if (own_version.complete &&
-        message.configuration_part.revision <= own_version.content)
+    const auto &current = board.steering.in_force;
+    if (!is_believable(board.store_era, message.version) ||
+        !is_believable(board.store_era,
+                       message.configuration_part.revision.era) ||
+        (own_version.complete && current &&
+         message.configuration_part.revision <= current->revision &&
+         !supersedes(message.configuration_part, *current)))
         return;
     board.last_pulled[static_cast<std::size_t>(feed::configuration)] = now;
     auto complete = add_routes_part(board.incoming_configuration, message);
     if (!complete)
         return;
     const auto initial = !own_version.complete;
-    if (!activate_configuration(board, std::move(complete)))
+    const auto revision = complete->revision;
+    if (!activate_configuration(board, std::move(complete)) &&
+        board.steering.in_force->revision != revision)
         return;
     adopt_version(board, feed::configuration, message.version, now);
     board.last_pulled[static_cast<std::size_t>(feed::configuration)] = {};
@@ -375,13 +395,33 @@
 auto activate_configuration(blackboard &board,
                             std::shared_ptr<configuration> next) -> bool {
     auto &current = board.steering.in_force;
-    if (current && next->revision <= current->revision)
+    if (current && !supersedes(*next, *current)) {
+        keep_in_force(board.steering, next->revision);
         return false;
+    }
     sort_routes(*next);
+    if (current)
+        next->revision = std::max(next->revision, current->revision);
     current = std::move(next);
     return true;
 }
 
+auto send_corrections(blackboard &board, std::uint32_t from,
+                      const std::vector<upstream_record> &corrections,
+                      time_point now, std::vector<outgoing_message> &out)
+    -> void {
+    // Without `records_message::from` the receiver would take the records for a
+    // complete set.
+    const auto from_revision = version_of(board, feed::upstreams).as_of;
+    if (corrections.empty() || from_revision == store_revision{})
+        return;
+    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto parts = split_records(corrections, from_revision, version);
+    add_messages(from, parts, out);
+    for (const auto to : select_push_peers(board, from, now))
+        add_messages(to, parts, out);
+}
+
 auto send_digests(blackboard &board, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     expire_members(board.members, now);
--- a/src/libdogwoodtrack/carried/feeds/gossip.hpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.hpp
@@ -30,8 +30,17 @@
                      std::uint32_t except, time_point now,
                      std::vector<outgoing_message> &out) -> void;
 
-/// Puts a configuration in force unless the one in force is the same or newer.
-/// Returns whether it was put in force.
+/// Sends upstream records that a message from `from` lacked, or that the usual
+/// forwarding leaves out (see `add_correction`), to `from` and to a few other
+/// peers.
+auto send_corrections(blackboard &board, std::uint32_t from,
+                      const std::vector<upstream_record> &corrections,
+                      time_point now, std::vector<outgoing_message> &out)
+    -> void;
+
+/// Puts a configuration in force if it supersedes the one in force, see
+/// `supersedes`. Returns whether it was put in force. Else the one in force
+/// takes its revision, if that is later: it stays in its place.
 auto activate_configuration(blackboard &board,
                             std::shared_ptr<configuration> next) -> bool;
 
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -69,7 +69,8 @@
     revision = 11,
     changed_at = 12,
     revision_era = 13,
-    changed_at_era = 14
+    changed_at_era = 14,
+    written_in_era = 15
 };
 enum class batch_field : protozero::pbf_tag_type {
     from = 1,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -59,6 +59,8 @@
                    it.revision);
     write_revision(out, record_field::changed_at, record_field::changed_at_era,
                    it.changed_at);
+    if (it.written_in_era)
+        out.add_bool(record_field::written_in_era, true);
 }
 
 auto write(builder<route_field> out, const route_spec &it) -> void {
@@ -200,7 +202,7 @@
                    const store_revision &from, const reported_version &version)
     -> std::vector<records_message> {
     constexpr std::size_t fixed_fields_size = 85;
-    constexpr std::size_t eras_size = 22;
+    constexpr std::size_t eras_size = 24;
     return split<records_message, upstream_record>(
         records, {.from = from, .version = version, .records = {}},
         [](records_message & it) -> auto & { return it.records; },
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -132,6 +132,9 @@
         case record_field::changed_at_era:
             it.changed_at.era = in.get_uint64();
             break;
+        case record_field::written_in_era:
+            it.written_in_era = read_flag(in);
+            break;
         default:
             in.skip();
         }
--- a/src/libdogwoodtrack/carried/feeds/reassembly.cpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.cpp
@@ -38,8 +38,11 @@
     const auto revision = message.configuration_part.revision;
     if (partial.revision > revision)
         return nullptr;
-    if (partial.revision != revision || partial.parts.size() != message.parts)
+    const auto version = message.configuration_part.version;
+    if (partial.revision != revision || partial.version != version ||
+        partial.parts.size() != message.parts)
         partial = {.revision = revision,
+                   .version = version,
                    .parts = std::vector<std::vector<route_spec>>(message.parts),
                    .missing = message.parts};
     auto &part = partial.parts[message.part];
--- a/src/libdogwoodtrack/carried/feeds/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -12,6 +12,7 @@
 /// A configuration that is being received in parts.
 struct partial_configuration {
     store_revision revision;
+    std::uint64_t version = 0; ///< see `configuration::version`
     /// Routes of each part; empty until the part is received.
     std::vector<std::vector<route_spec>> parts;
     std::size_t missing = 0; ///< parts not yet received
--- a/src/libdogwoodtrack/carried/feeds/store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store.hpp
@@ -35,6 +35,9 @@
 struct store_answer {
     feed what{};
     store_outcome outcome = store_outcome::failed;
+    /// The era in `as_of`, and in the revisions of all records, could not be
+    /// read: it counts as the one in force.
+    bool era_unreadable = false;
     store_revision as_of; ///< the answer shows the store at this revision
     /// The store's current revision may be later than `as_of`.
     bool may_be_stale = false;
@@ -45,6 +48,9 @@
     std::string detail; ///< reason for a refusal or failure
 };
 
+/// Sets the era of all revisions in an answer.
+auto set_era(store_answer &answer, std::uint64_t era) -> void;
+
 /// One call to the store.
 struct store_call {
     feed what{};
--- a/src/libdogwoodtrack/carried/feeds/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_answers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "carried/feeds/gossip.hpp"
+#include "carried/feeds/restored_store.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -65,7 +66,8 @@
     auto changed = false;
     auto &table = board.steering.upstreams;
     auto &content = version_of(board, feed::upstreams).content;
-    for (const auto &record : answer.records) {
+    for (auto record : answer.records) {
+        record.written_in_era = is_written_in_era(board, answer, record);
         changed |=
             apply_record(table, lapse_if_may_reappear(board, record, now), now);
         const auto revision = revision_of_change(table, record);
@@ -79,7 +81,7 @@
     if (answer.may_be_stale)
         return changed;
     const auto retired =
-        retire_missing(table, sorted_ids(answer.records), answer.as_of,
+        retire_missing(table, present_ids(table, answer.records), answer.as_of,
                        may_reappear(board, now) ? upstream_state::lapsed
                                                 : upstream_state::gone,
                        now);
@@ -130,10 +132,10 @@
     auto &own_version = version_of(board, answer.what);
     auto &call = board.calls[static_cast<std::size_t>(answer.what)];
     record_store_answer(board, answer.what, now);
+    const auto previous_as_of = follow_unannounced_return(board, answer);
     call.needs_list = false;
     if (is_outdated(own_version, answer))
         return;
-    const auto previous_as_of = own_version.as_of;
     const auto initial = !own_version.complete;
     auto changed = false;
     if (answer.what == feed::upstreams) {
@@ -156,14 +158,17 @@
         advertise(board, 0, now, out);
 }
 
-} // namespace
+// The answer with all revisions in this era.
+auto in_era(store_answer answer, std::uint64_t era) -> store_answer {
+    set_era(answer, era);
+    return answer;
+}
 
-auto on_store_answer(blackboard &board, const store_answer &answer,
-                     time_point now, std::vector<outgoing_message> &out)
-    -> void {
+// Applies an answer whose era is believed.
+auto apply_answer(blackboard &board, const store_answer &answer, time_point now,
+                  std::vector<outgoing_message> &out) -> void {
     auto &call = board.calls[static_cast<std::size_t>(answer.what)];
-    call.in_flight = false;
-    switch (answer.outcome) {
+    switch (effective_outcome(board, answer)) {
     case store_outcome::listed:
     case store_outcome::changed:
         return handle_success(board, answer, now, out);
@@ -179,4 +184,20 @@
     }
 }
 
+} // namespace
+
+auto on_store_answer(blackboard &board, const store_answer &received,
+                     time_point now, std::vector<outgoing_message> &out)
+    -> void {
+    auto &call = board.calls[static_cast<std::size_t>(received.what)];
+    call.in_flight = false;
+    call.ignored = !accept_answer_era(board, received, now);
+    if (call.ignored)
+        return record_store_answer(board, received.what, now);
+    if (received.era_unreadable)
+        return apply_answer(board, in_era(received, board.store_era.era), now,
+                            out);
+    apply_answer(board, received, now, out);
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -51,6 +51,9 @@
 /// turns with others, see `retry_delay`.
 constexpr milliseconds max_turn_interval{8'000};
 constexpr unsigned max_retry_doublings = 4;
+/// Time after an answer whose era was not believed until the next call. Long
+/// enough for the two watchers of two feeds to stay at 16 calls a second.
+constexpr milliseconds ignored_answer_delay{250};
 /// Longest retry delay, before jitter, of a balancer that has got complete
 /// state neither from the store nor from its peers.
 constexpr milliseconds max_retry_delay_without_state{400};
@@ -156,16 +159,23 @@
     if (own_version.as_of == store_revision{})
         return store_call{
             .what = what, .list = true, .may_be_stale = !board.first_start};
-    if (call.needs_list)
+    // Revisions of another era are of no use for a watch.
+    if (call.needs_list || own_version.as_of.era != board.store_era.era)
         return store_call{.what = what, .list = true};
+    call.since = call.went_back_to != store_revision{} ? call.went_back_to
+                                                       : own_version.as_of;
     return store_call{.what = what,
-                      .since = own_version.as_of,
+                      .since = call.since,
                       .wait = board.apply_within * watch_wait_percent / 100};
 }
 
 auto schedule_next_call(blackboard &board, const store_answer &answer,
                         time_point now) -> void {
     auto &call = call_state_of(board, answer.what);
+    if (call.ignored) {
+        call.not_before = now + ignored_answer_delay;
+        return;
+    }
     switch (answer.outcome) {
     case store_outcome::listed:
     case store_outcome::history_gone:
@@ -173,6 +183,10 @@
         call.not_before = now;
         return;
     case store_outcome::changed: {
+        if (call.needs_list) {
+            call.not_before = now;
+            return;
+        }
         const auto changes =
             !answer.records.empty() || answer.latest_configuration;
         const auto batching_delay = board.apply_within * batching_percent / 100;
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -89,6 +89,7 @@
     write_gauge(out, "upstreams", it.steering.upstreams.by_id.size());
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
+    write_gauge(out, "store_era", it.store_era.era);
     write_feeds(out, it, now);
     return fmt::to_string(out) + metrics.to_prometheus();
 }
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "carried/upstreams/restored_records.hpp"
+
 namespace dogwoodtrack::carried {
 
 namespace {
@@ -147,11 +149,47 @@
                                                               : no_upstream;
 }
 
-auto is_newer(const upstream_record &record, const upstream_record &known)
-    -> bool {
-    if (record.revision != known.revision)
-        return record.revision > known.revision;
-    return record.state > known.state;
+// Puts a record in the place of the known one of the same incarnation. What a
+// restored store says of the time until the upstream is warm may be old.
+auto update_record(upstream_table &table, upstream_index index,
+                   const upstream_record &record, time_point now) -> void {
+    auto &it = table.all[index];
+    const auto warm_at = it.warm_at;
+    const auto may_be_old = record.revision.era != it.record.revision.era;
+    replace_record(table, index, record, now);
+    if (may_be_old)
+        it.warm_at = std::min(it.warm_at, warm_at);
+}
+
+// Whether the records differ only in whether they are known to be written in
+// their era.
+auto same_change(const upstream_record &a, const upstream_record &b) -> bool {
+    return a.revision == b.revision && a.state == b.state;
+}
+
+// Applies a record that is to replace that of the upstream `index`.
+auto apply_merged(upstream_table &table, upstream_index index,
+                  const upstream_record &record, time_point now) -> void {
+    const auto &known = table.all[index].record;
+    // The record of a removed entry has no valid fields except the identifier,
+    // the state and the revisions. The other fields keep their known values, so
+    // that packets of existing flows are still forwarded.
+    if (record.state >= upstream_state::lapsed) {
+        auto merged = known;
+        merged.state = record.state;
+        merged.revision = record.revision;
+        merged.changed_at = record.changed_at;
+        merged.written_in_era = record.written_in_era;
+        return update_record(table, index, merged, now);
+    }
+    if (record.born == known.born)
+        return update_record(table, index, record, now);
+    set_state(table, index, upstream_state::gone, now);
+    const auto previous = find_incarnation(table, record);
+    if (previous == no_upstream)
+        return add_upstream(table, record, now);
+    table.by_id[record.id] = previous;
+    replace_record(table, previous, record, now);
 }
 
 auto erase_upstream(upstream_table &table, upstream_index index) -> void {
@@ -189,33 +227,15 @@
         add_upstream(table, record, now);
         return true;
     }
-    const auto index = found->second;
-    const auto &known = table.all[index].record;
-    if (!is_newer(record, known))
+    auto &known = table.all[found->second].record;
+    const auto merged = merge_record(record, known);
+    if (!merged)
+        return false;
+    if (same_change(*merged, known)) {
+        known.written_in_era = merged->written_in_era;
         return false;
-    // The record of a removed entry has no valid fields except the identifier,
-    // the state and the revisions. The other fields keep their known values, so
-    // that packets of existing flows are still forwarded.
-    if (record.state >= upstream_state::lapsed) {
-        auto merged = known;
-        merged.state = record.state;
-        merged.revision = record.revision;
-        merged.changed_at = record.changed_at;
-        replace_record(table, index, merged, now);
-        return true;
-    }
-    if (record.born == known.born) {
-        replace_record(table, index, record, now);
-        return true;
-    }
-    set_state(table, index, upstream_state::gone, now);
-    const auto previous = find_incarnation(table, record);
-    if (previous == no_upstream) {
-        add_upstream(table, record, now);
-        return true;
     }
-    table.by_id[record.id] = previous;
-    replace_record(table, previous, record, now);
+    apply_merged(table, found->second, *merged, now);
     return true;
 }
 
@@ -242,6 +262,8 @@
             std::binary_search(present.begin(), present.end(), id))
             continue;
         it.record.changed_at = as_of;
+        it.record.written_in_era =
+            as_of.era > 0 && it.record.revision.era == as_of.era;
         set_state(table, index,
                   it.record.state == upstream_state::draining
                       ? upstream_state::gone
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -38,6 +38,10 @@
     milliseconds cold_remaining{0}; ///< time until the upstream is warmed up
     store_revision revision;        ///< of the entry's last change
     store_revision changed_at;      ///< first store revision that shows `state`
+    /// The entry is known to have been written or removed in the era of
+    /// `changed_at`, not only to be in, or missing from, the copy from which
+    /// the store was restored at the start of that era. Not used in era 0.
+    bool written_in_era = false;
 };
 
 struct endpoint_hash {
@@ -146,7 +150,8 @@
 /// Binding code of an incarnation: the same on every balancer, never 0.
 auto binding_code(const upstream_record &record) -> std::uint32_t;
 
-/// Applies a record unless the same or a newer one of this upstream is known. A
+/// Applies a record unless the same or a newer one of this upstream is known,
+/// see `merge_record`. A
 /// new incarnation gets an element and a binding code of its own; the element
 /// of the previous incarnation becomes `gone` and can still be found by its
 /// code. If a record shows an incarnation that was replaced before, because a
