--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -22,6 +22,9 @@
     const auto status =
         nlohmann::json::parse(status_json(it, "balancer-1", start));
     CHECK(status["instance"] == "balancer-1");
+    it.store_era.era = 3;
+    CHECK(metrics_text(it, {}, start).find("\ndogwoodtrack_store_era 3\n") !=
+          std::string::npos);
     CHECK(status["can_serve"] == false);
     CHECK(status["flows"] == 0);
     CHECK(status["feeds"]["upstreams"]["unconfirmed_ms"] == -1);
--- a/src/libdogwoodtrack/carried/upstreams/restored_records.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/restored_records.cpp
@@ -69,4 +69,9 @@
            has_entry(record) && record.born < known.born;
 }
 
+auto is_gone_despite_entry(const upstream_record &it) -> bool {
+    return it.state == upstream_state::gone && it.revision.era > 0 &&
+           it.revision.era == it.changed_at.era && !it.written_in_era;
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/upstreams/restored_records.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/restored_records.hpp
@@ -34,4 +34,9 @@
 auto is_earlier_incarnation(const upstream_record &record,
                             const upstream_record &known) -> bool;
 
+/// Whether a record is `gone` although its entry may be in the store: the state
+/// was kept against an entry of the copy. As long as this is so the record must
+/// not be forgotten, as another list would show the upstream as ready.
+auto is_gone_despite_entry(const upstream_record &it) -> bool;
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/upstreams/restored_records_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/restored_records_test.cpp
@@ -73,6 +73,25 @@
           draining);
 }
 
+// Guards against an upstream that is used again once it was forgotten.
+TEST_CASE("an upstream that is gone is remembered while the restored store has "
+          "its entry") {
+    upstream_table table;
+    apply_record(table, make_state(gone, 90, 0), start);
+    apply_record(table, make_state(ready, 50, 1), start);
+    expire_upstreams(table, seconds{60}, start + seconds{600});
+    CHECK_FALSE(apply_record(table, make_state(ready, 50, 1), start));
+    CHECK(table.by_id.contains("i-1"));
+    upstream_record removal{.id = "i-1",
+                            .state = gone,
+                            .revision = make_revision(50, 1),
+                            .changed_at = make_revision(70, 1),
+                            .written_in_era = true};
+    apply_record(table, removal, start);
+    expire_upstreams(table, seconds{60}, start + seconds{600});
+    CHECK_FALSE(table.by_id.contains("i-1"));
+}
+
 // Guards against an upstream that is used again for 2 s, because another
 // balancer, which had not learned of its removal, found its entry missing.
 TEST_CASE("an entry that is missing from the copy does not take an upstream "
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -282,7 +282,8 @@
             now - it.state_since >= lapse_grace)
             set_state(table, i, upstream_state::gone, now);
         if (it.record.state == upstream_state::gone &&
-            now - it.state_since >= retention && !it.record.id.empty())
+            now - it.state_since >= retention && !it.record.id.empty() &&
+            !is_gone_despite_entry(it.record))
             erase_upstream(table, i);
     }
 }
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -177,7 +177,8 @@
                     time_point now) -> bool;
 
 /// Sets the state of upstreams that have been `lapsed` for `lapse_grace` to
-/// `gone`, and removes those that have been `gone` for `retention`.
+/// `gone`, and removes those that have been `gone` for `retention`, except if
+/// `is_gone_despite_entry` holds.
 auto expire_upstreams(upstream_table &table, milliseconds retention,
                       time_point now) -> void;
 
