--- a/src/libdogwoodtrack/carried/evacuation_log.cpp
+++ b/src/libdogwoodtrack/carried/evacuation_log.cpp
@@ -52,7 +52,8 @@
     log_event(severity::info, "evacuation_changed",
               {{"domains", names_of(board.evacuations)},
                {"count", std::uint64_t{board.evacuations.domains.size()}},
-               {"version", version.content},
+               {"version", version.content.number},
+               {"era", version.content.era},
                {"as_of", version.as_of},
                {"source", from == 0 ? std::string("store")
                                     : to_string(endpoint{.address = from})},
@@ -77,10 +78,11 @@
     if (state.refusal_logged == state.changes)
         return;
     state.refusal_logged = state.changes;
-    log_event(severity::warning, "all_upstreams_evacuated",
-              {{"service", to_string(service)},
-               {"domains", names_of(state)},
-               {"version", version_of(board, feed::evacuations).content}});
+    log_event(
+        severity::warning, "all_upstreams_evacuated",
+        {{"service", to_string(service)},
+         {"domains", names_of(state)},
+         {"version", version_of(board, feed::evacuations).content.number}});
 }
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "carried/feeds/store_revision.hpp"
 #include "dogwoodtrack/types.hpp"
 
 namespace dogwoodtrack::carried {
@@ -35,14 +36,22 @@
 
 /// A complete configuration. Immutable once it is in force.
 struct configuration {
-    std::uint64_t version = 0;  ///< assigned by the operator
-    std::uint64_t revision = 0; ///< store revision of the configuration object
+    std::uint64_t version = 0;         ///< assigned by the operator
+    store_revision revision;           ///< of the configuration object
     milliseconds idle_timeout{15'000}; ///< of flows
     std::vector<route_spec> routes;    ///< sorted by address
 };
 
 /// Largest valid `weighted_service::cold_per_s`.
 inline constexpr double max_cold_per_s = 1e6;
+/// Whether `next` is to be put in force in place of `current`. In one era of
+/// the store the later revision is; of two with the same revision, that with
+/// the higher `version`. A configuration of a later era may come from an older
+/// copy of the store: it is put in force unless its `version`, which rises with
+/// each configuration, is lower. One of an earlier era is put in force only if
+/// its `version` is higher. Thread safe.
+auto supersedes(const configuration &next, const configuration &current)
+    -> bool;
 
 /// Sorts the routes by address, as `find_route` requires.
 auto sort_routes(configuration &it) -> void;
--- a/src/libdogwoodtrack/carried/feeds/evacuation_types.hpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuation_types.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "carried/feeds/store_revision.hpp"
+
 namespace dogwoodtrack::carried {
 
 /// A failure domain whose upstreams get no new flows.
@@ -22,14 +24,17 @@
     bool removed = false;
     /// Store revision of the entry's last change or, if it is removed, a
     /// revision at which it is known to be removed.
-    std::uint64_t changed_at = 0;
+    store_revision changed_at;
 };
 
 /// The set of evacuated failure domains. The set is the store's from the
 /// revision `feed_version::content` of the feed to its `as_of`.
 struct evacuation_state {
     std::vector<evacuated_domain> domains; ///< sorted
-    std::uint64_t changes = 0;             ///< of `domains`, since the start
+    /// Those in `domains` that a restored store did not list. They stay until
+    /// their entry is written or removed in the era of the store.
+    std::vector<evacuated_domain> kept;
+    std::uint64_t changes = 0; ///< of `domains`, since the start
     /// Names in `domains` that were reported as unknown, see
     /// `take_unknown_evacuations`.
     std::vector<std::string> reported_unknown;
--- a/src/libdogwoodtrack/carried/feeds/evacuations.cpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuations.cpp
@@ -31,6 +31,29 @@
         set.insert(at, entry.domain);
 }
 
+// Adds the domains in force that a set of a later era lacks: the store may have
+// lost entries that it acknowledged.
+auto keep_in_force(evacuation_state &state, std::vector<evacuated_domain> &next)
+    -> void {
+    for (const auto &domain : state.domains) {
+        if (std::find(next.begin(), next.end(), domain) == next.end() &&
+            std::find(state.kept.begin(), state.kept.end(), domain) ==
+                state.kept.end())
+            state.kept.push_back(domain);
+    }
+}
+
+// Adds the kept domains to a complete set. A kept domain that the set contains
+// was written again.
+auto add_kept(evacuation_state &state, std::vector<evacuated_domain> &next)
+    -> void {
+    std::erase_if(state.kept, [&](const auto &domain) {
+        return std::find(next.begin(), next.end(), domain) != next.end();
+    });
+    next.insert(next.end(), state.kept.begin(), state.kept.end());
+    std::sort(next.begin(), next.end());
+}
+
 auto is_known_domain(const blackboard &board, std::uint32_t domain) -> bool {
     const auto &members = board.members;
     const auto &upstreams = board.steering.upstreams.all;
@@ -55,6 +78,7 @@
     if (enabled == was_enabled)
         return;
     replace_set(board, {});
+    board.evacuations.kept.clear();
     version_of(board, feed::evacuations) = {};
     board.incoming_evacuations = {};
     board.steering.evacuations_known = !enabled;
@@ -69,7 +93,8 @@
 
 auto apply_evacuations(blackboard &board, const store_answer &answer) -> bool {
     const auto listed = answer.outcome == store_outcome::listed;
-    auto &content = version_of(board, feed::evacuations).content;
+    auto &known = version_of(board, feed::evacuations);
+    auto &content = known.content;
     // When the set became as listed is unknown: an entry removed earlier leaves
     // no trace in a list.
     if (listed)
@@ -78,10 +103,16 @@
         listed ? std::vector<evacuated_domain>{} : board.evacuations.domains;
     for (const auto &entry : answer.evacuations) {
         apply_entry(next, entry);
+        if (!listed)
+            std::erase(board.evacuations.kept, entry.domain);
         // Counts even if the set stays the same: a list whose later pages were
         // read after its revision may have had this change already.
         content = std::max(content, std::min(entry.changed_at, answer.as_of));
     }
+    if (listed && known.complete && answer.as_of.era > known.as_of.era)
+        keep_in_force(board.evacuations, next);
+    if (listed)
+        add_kept(board.evacuations, next);
     return replace_set(board, std::move(next));
 }
 
@@ -99,9 +130,14 @@
 
 auto adopt_evacuations(blackboard &board, std::vector<evacuated_domain> whole,
                        const reported_version &reported) -> bool {
-    if (!is_newer_set(version_of(board, feed::evacuations), reported))
+    const auto &known = version_of(board, feed::evacuations);
+    if (!is_newer_set(known, reported))
         return false;
-    std::sort(whole.begin(), whole.end());
+    if (known.complete && reported.content.era > known.as_of.era)
+        keep_in_force(board.evacuations, whole);
+    else
+        board.evacuations.kept.clear();
+    add_kept(board.evacuations, whole);
     whole.erase(std::unique(whole.begin(), whole.end()), whole.end());
     replace_set(board, std::move(whole));
     return true;
--- a/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
@@ -22,14 +22,14 @@
               bool removed = false) -> evacuation_entry {
     return {.domain = {.name = name, .domain = hash_name(name)},
             .removed = removed,
-            .changed_at = changed_at};
+            .changed_at = {.number = changed_at}};
 }
 
 auto make_answer(store_outcome outcome, std::vector<evacuation_entry> entries,
                  std::uint64_t as_of) -> store_answer {
     return {.what = feed::evacuations,
             .outcome = outcome,
-            .as_of = as_of,
+            .as_of = {.number = as_of},
             .evacuations = std::move(entries)};
 }
 
@@ -169,7 +169,7 @@
     // An upstream that starts during the evacuation, one that moves out of it.
     apply(it, {.what = feed::upstreams,
                .outcome = store_outcome::changed,
-               .as_of = 15,
+               .as_of = {.number = 15},
                .records = {make_record("i-new", 14, hash_name("west")),
                            make_record("i-west", 15, hash_name("east"))}});
     const auto &placeable = it.steering.upstreams.placeable[bookings];
@@ -212,7 +212,7 @@
     digest_all({&fleet.b, &fleet.c}, start + milliseconds{500});
     CHECK(place(fleet.b, 1) == "i-west");
     CHECK(place(fleet.c, 1) == "i-west");
-    CHECK(version_of(fleet.c, feed::evacuations).content == 11);
+    CHECK(version_of(fleet.c, feed::evacuations).content.number == 11);
 }
 
 TEST_CASE("after a restart of all balancers the list of evacuations is never "
@@ -244,9 +244,9 @@
     digest_all({&fleet.a, &old}, start + seconds{1});
     CHECK(evacuated_names(fleet.a) == east);
     CHECK(evacuated_names(old) == east);
-    const auto set =
-        split_evacuations({entry_of("west", 11).domain},
-                          {.content = 11, .as_of = 99, .complete = true});
+    const auto set = split_evacuations(
+        {entry_of("west", 11).domain},
+        {.content = {.number = 11}, .as_of = {.number = 99}, .complete = true});
     std::vector<outgoing_message> out;
     on_peer_message(fleet.a, 2, set.front(), start, out);
     CHECK(evacuated_names(fleet.a) == east);
@@ -268,7 +268,7 @@
     CHECK(evacuated_names(after) == names{"east"});
     apply(before, changes_of({}, 20), start + seconds{2});
     CHECK(digest_all({&before, &after}, start + seconds{2}) == 0);
-    CHECK(version_of(after, feed::evacuations).as_of == 20);
+    CHECK(version_of(after, feed::evacuations).as_of.number == 20);
     CHECK(version_of(after, feed::evacuations).confirmed >=
           start + seconds{2} - milliseconds{1});
     // The same set, listed later, but not later than what the others know.
@@ -278,7 +278,7 @@
     update_member(restarted.members, peer);
     apply(restarted, list_of({entry_of("east", 5)}, 15));
     CHECK(digest_all({&before, &restarted}, start + seconds{3}) == 0);
-    CHECK(version_of(restarted, feed::evacuations).as_of == 20);
+    CHECK(version_of(restarted, feed::evacuations).as_of.number == 20);
 }
 
 TEST_CASE("a set that exceeds a datagram is put in force only as a whole") {
@@ -287,9 +287,9 @@
     for (std::uint64_t i = 0; i < 300; ++i)
         many.push_back(entry_of("domain-" + std::to_string(i), 11));
     apply(fleet.a, changes_of(many, 11));
-    const auto parts =
-        split_evacuations(fleet.a.evacuations.domains,
-                          {.content = 11, .as_of = 11, .complete = true});
+    const auto parts = split_evacuations(
+        fleet.a.evacuations.domains,
+        {.content = {.number = 11}, .as_of = {.number = 11}, .complete = true});
     REQUIRE(parts.size() > 2);
     std::vector<outgoing_message> out;
     for (std::size_t i = 0; i < parts.size(); ++i) {
@@ -342,3 +342,39 @@
     set_evacuate_within(off, milliseconds{0});
     CHECK(off.steering.upstreams.placeable[bookings].size() == 2);
 }
+
+// Guards against flows to an evacuated domain while the store that has lost the
+// entry waits for the operator to write it again.
+TEST_CASE("an evacuation that a restored store has lost stays until its entry "
+          "is written or removed") {
+    const auto with_era = [](store_answer answer) {
+        set_era(answer, 1);
+        return answer;
+    };
+    auto it = make_blackboard(1);
+    set_evacuate_within(it, bound);
+    apply(it, list_of({entry_of("a", 10), entry_of("b", 20)}, 20));
+    apply(it, with_era(list_of({entry_of("a", 10)}, 12)));
+    CHECK(evacuated_names(it) == names{"a", "b"});
+    SUBCASE("a further list without the entry") {
+        apply(it, with_era(list_of({}, 13)));
+        CHECK(evacuated_names(it) == names{"b"});
+    }
+    SUBCASE("the entry is written and removed") {
+        it.calls[static_cast<std::size_t>(feed::evacuations)].since = {
+            .era = 1, .number = 12};
+        apply(it, with_era(changes_of({entry_of("b", 13)}, 13)));
+        apply(it, with_era(changes_of({entry_of("b", 14, true)}, 14)));
+        CHECK(evacuated_names(it) == names{"a"});
+    }
+    SUBCASE("a balancer learns the set of the copy from a peer") {
+        auto peer = make_blackboard(2);
+        set_evacuate_within(peer, bound);
+        apply(peer, list_of({entry_of("b", 20)}, 20));
+        CHECK(adopt_evacuations(peer, {entry_of("a", 10).domain},
+                                {.content = {.era = 1, .number = 12},
+                                 .as_of = {.era = 1, .number = 12},
+                                 .complete = true}));
+        CHECK(evacuated_names(peer) == names{"a", "b"});
+    }
+}
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "carried/feeds/evacuations.hpp"
+#include "carried/feeds/restored_store.hpp"
 #include "carried/load/load_exchange.hpp"
 #include "carried/members/rotation.hpp"
 #include "carried/quota/cold_quota.hpp"
@@ -40,9 +41,9 @@
 constexpr std::size_t max_pushed_records = 12;
 
 // Store revision since which this balancer knows all removals of a feed.
-auto removals_since(const blackboard &board, feed what) -> std::uint64_t {
+auto removals_since(const blackboard &board, feed what) -> store_revision {
     if (what != feed::upstreams)
-        return 0;
+        return {};
     return std::max(version_of(board, what).removals_since,
                     board.steering.upstreams.forgotten);
 }
@@ -86,6 +87,7 @@
     auto &own_version = version_of(board, what);
     auto &call = board.calls[static_cast<std::size_t>(what)];
     own_version.as_of = std::max(own_version.as_of, reported.as_of);
+    adopt_peer_era(board, reported, now);
     own_version.confirmed = std::max(own_version.confirmed, now - reported.age);
     call.last_peer_confirmation =
         std::max(call.last_peer_confirmation, now - reported.age);
@@ -95,8 +97,8 @@
 
 // The records have the warm-up time that remains now, not the one when the
 // store's entry was written.
-auto records_since(const blackboard &board, std::uint64_t since, time_point now)
-    -> std::vector<upstream_record> {
+auto records_since(const blackboard &board, const store_revision &since,
+                   time_point now) -> std::vector<upstream_record> {
     std::vector<upstream_record> records;
     for (const auto &upstream : board.steering.upstreams.all) {
         if (upstream.record.id.empty() || upstream.record.changed_at <= since)
@@ -113,10 +115,10 @@
 // after `since` may be unknown here: the receiver then finds out what is
 // missing.
 auto send_records(const blackboard &board, std::uint32_t to,
-                  std::uint64_t since, time_point now,
+                  store_revision since, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     if (since < removals_since(board, feed::upstreams))
-        since = 0;
+        since = {};
     const auto version = make_reported_version(board, feed::upstreams, now);
     add_messages(
         to, split_records(records_since(board, since, now), since, version),
@@ -139,7 +141,7 @@
 }
 
 auto send_state(const blackboard &board, std::uint32_t to, feed what,
-                std::uint64_t since, time_point now,
+                const store_revision &since, time_point now,
                 std::vector<outgoing_message> &out) -> void {
     if (!version_of(board, what).complete)
         return;
@@ -212,7 +214,8 @@
                          const reported_version &reported, time_point now,
                          std::vector<outgoing_message> &out) -> void {
     const auto &own_version = version_of(board, feed::evacuations);
-    if (!is_enabled(board, feed::evacuations))
+    if (!is_enabled(board, feed::evacuations) ||
+        !is_believable(board.store_era, reported))
         return;
     if (is_newer_set(own_version, reported))
         return pull(board, from, feed::evacuations, now, out);
@@ -229,9 +232,12 @@
     if (what == feed::evacuations)
         return compare_evacuations(board, from, reported, now, out);
     auto &own_version = version_of(board, what);
+    if (!is_believable(board.store_era, reported))
+        return;
     // The feed was empty at store revision `reported.as_of`: the peer read this
     // from the store itself or learned it from another balancer.
-    if (!reported.complete && reported.as_of > 0 && !own_version.complete)
+    if (!reported.complete && reported.as_of != store_revision{} &&
+        !own_version.complete)
         return adopt_confirmation(board, what, reported, now);
     if (!reported.complete)
         return;
@@ -267,7 +273,7 @@
     }
     for (std::size_t i = 0; i < feed_count; ++i) {
         if (!message.versions[i].complete)
-            send_state(board, to, static_cast<feed>(i), 0, now, out);
+            send_state(board, to, static_cast<feed>(i), {}, now, out);
     }
 }
 
@@ -317,7 +323,7 @@
     auto &own_version = version_of(board, feed::upstreams);
     const auto retired =
         retire_missing(board.steering.upstreams, ids, reported.as_of,
-                       upstream_state::gone, now);
+                       missing_state(own_version, reported), now);
     if (retired)
         own_version.content = std::max(own_version.content, reported.as_of);
     if (!own_version.complete || own_version.as_of < reported.removals_since)
@@ -329,13 +335,22 @@
                     const records_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
     auto &own_version = version_of(board, feed::upstreams);
+    if (!is_believable(board.store_era, message))
+        return;
     const auto previous_as_of = own_version.as_of;
     auto changed = false;
-    for (const auto &record : message.records)
-        changed |= apply_record(board.steering.upstreams, record, now);
+    std::vector<upstream_record> corrections;
+    for (const auto &record : message.records) {
+        if (!apply_record(board.steering.upstreams, record, now))
+            continue;
+        changed = true;
+        add_correction(board.steering.upstreams, record, previous_as_of,
+                       corrections);
+    }
+    send_corrections(board, from, corrections, now, out);
     const auto is_contiguous = own_version.complete
                                    ? message.from <= previous_as_of
-                                   : message.from == 0;
+                                   : message.from == store_revision{};
     if (!is_contiguous)
         return pull(board, from, feed::upstreams, now, out);
     board.last_pulled[static_cast<std::size_t>(feed::upstreams)] = now;
@@ -343,7 +358,7 @@
     if (!ids)
         return;
     const auto initial = !own_version.complete;
-    if (message.from == 0)
+    if (message.from == store_revision{})
         changed |= adopt_complete_set(board, *ids, message.version, now);
     adopt_version(board, feed::upstreams, message.version, now);
     board.steering.upstreams_known = true;
@@ -358,15 +373,22 @@
                     const routes_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
     auto &own_version = version_of(board, feed::configuration);
-    if (own_version.complete &&
-        message.configuration_part.revision <= own_version.content)
+    const auto &current = board.steering.in_force;
+    if (!is_believable(board.store_era, message.version) ||
+        !is_believable(board.store_era,
+                       message.configuration_part.revision.era) ||
+        (own_version.complete && current &&
+         message.configuration_part.revision <= current->revision &&
+         !supersedes(message.configuration_part, *current)))
         return;
     board.last_pulled[static_cast<std::size_t>(feed::configuration)] = now;
     auto complete = add_routes_part(board.incoming_configuration, message);
     if (!complete)
         return;
     const auto initial = !own_version.complete;
-    if (!activate_configuration(board, std::move(complete)))
+    const auto revision = complete->revision;
+    if (!activate_configuration(board, std::move(complete)) &&
+        board.steering.in_force->revision != revision)
         return;
     adopt_version(board, feed::configuration, message.version, now);
     board.last_pulled[static_cast<std::size_t>(feed::configuration)] = {};
@@ -381,6 +403,7 @@
                     std::vector<outgoing_message> &out) -> void {
     const auto &own_version = version_of(board, feed::evacuations);
     if (!is_enabled(board, feed::evacuations) ||
+        !is_believable(board.store_era, message.version) ||
         !is_newer_set(own_version, message.version))
         return;
     auto &last_pulled =
@@ -444,7 +467,7 @@
         out.push_back({.to = to, .message = make_digest(board, 0, now)});
 }
 
-auto forward_records(blackboard &board, std::uint64_t since,
+auto forward_records(blackboard &board, const store_revision &since,
                      std::uint32_t except, time_point now,
                      std::vector<outgoing_message> &out) -> void {
     const auto records = records_since(board, since, now);
@@ -459,15 +482,35 @@
 auto activate_configuration(blackboard &board,
                             std::shared_ptr<configuration> next) -> bool {
     auto &current = board.steering.in_force;
-    if (current && next->revision <= current->revision)
+    if (current && !supersedes(*next, *current)) {
+        keep_in_force(board.steering, next->revision);
         return false;
+    }
     sort_routes(*next);
+    if (current)
+        next->revision = std::max(next->revision, current->revision);
     current = std::move(next);
     auto &cold = board.steering.upstreams.cold;
     update_cold_limits(cold, current.get(), cold.bounds);
     return true;
 }
 
+auto send_corrections(blackboard &board, std::uint32_t from,
+                      const std::vector<upstream_record> &corrections,
+                      time_point now, std::vector<outgoing_message> &out)
+    -> void {
+    // Without `records_message::from` the receiver would take the records for a
+    // complete set.
+    const auto from_revision = version_of(board, feed::upstreams).as_of;
+    if (corrections.empty() || from_revision == store_revision{})
+        return;
+    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto parts = split_records(corrections, from_revision, version);
+    add_messages(from, parts, out);
+    for (const auto to : select_push_peers(board, from, now))
+        add_messages(to, parts, out);
+}
+
 auto send_digests(blackboard &board, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     expire_members(board.members, now);
--- a/src/libdogwoodtrack/carried/feeds/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -11,7 +11,8 @@
 
 /// A configuration that is being received in parts.
 struct partial_configuration {
-    std::uint64_t revision = 0;
+    store_revision revision;
+    std::uint64_t version = 0; ///< see `configuration::version`
     /// Routes of each part; empty until the part is received.
     std::vector<std::vector<route_spec>> parts;
     std::size_t missing = 0; ///< parts not yet received
@@ -20,8 +21,8 @@
 /// A set of records that is being received in parts.
 struct partial_records {
     std::uint32_t sender = 0;  ///< address of the balancer that sends the set
-    std::uint64_t from = 0;    ///< see `records_message::from`
-    std::uint64_t as_of = 0;   ///< store revision that the set shows
+    store_revision from;       ///< see `records_message::from`
+    store_revision as_of;      ///< store revision that the set shows
     std::vector<bool> arrived; ///< which parts were received
     std::size_t missing = 0;   ///< parts not yet received
     /// Identifiers of the upstreams in the parts received.
@@ -31,7 +32,7 @@
 /// A set of evacuated failure domains that is being received in parts.
 struct partial_evacuations {
     std::uint32_t sender = 0;  ///< address of the balancer that sends the set
-    std::uint64_t content = 0; ///< version of the set
+    store_revision content;    ///< version of the set
     std::vector<bool> arrived; ///< which parts were received
     std::size_t missing = 0;   ///< parts not yet received
     std::vector<evacuated_domain> domains;
--- a/src/libdogwoodtrack/carried/feeds/store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store.hpp
@@ -36,7 +36,10 @@
 struct store_answer {
     feed what{};
     store_outcome outcome = store_outcome::failed;
-    std::uint64_t as_of = 0; ///< the answer shows the store at this revision
+    /// The era in `as_of`, and in the revisions of all records, could not be
+    /// read: it counts as the one in force.
+    bool era_unreadable = false;
+    store_revision as_of; ///< the answer shows the store at this revision
     /// The store's current revision may be later than `as_of`.
     bool may_be_stale = false;
     std::vector<upstream_record> records;
@@ -48,6 +51,9 @@
     std::vector<evacuation_entry> evacuations;
 };
 
+/// Sets the era of all revisions in an answer.
+auto set_era(store_answer &answer, std::uint64_t era) -> void;
+
 /// One call to the store.
 struct store_call {
     feed what{};
@@ -57,7 +63,7 @@
     /// Accept a cheaper list that may be seconds old.
     bool may_be_stale = false;
     /// Watch: report the changes after this store revision.
-    std::uint64_t since = 0;
+    store_revision since;
     milliseconds wait{0}; ///< watch: how long to wait for a change
 };
 
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -52,6 +52,9 @@
 /// turns with others, see `retry_delay`.
 constexpr milliseconds max_turn_interval{8'000};
 constexpr unsigned max_retry_doublings = 4;
+/// Time after an answer whose era was not believed until the next call. Long
+/// enough for the two watchers of two feeds to stay at 16 calls a second.
+constexpr milliseconds ignored_answer_delay{250};
 /// Longest retry delay, before jitter, of a balancer that has got complete
 /// state neither from the store nor from its peers.
 constexpr milliseconds max_retry_delay_without_state{400};
@@ -97,7 +100,7 @@
 auto decide_store_call(blackboard &board, feed what, time_point now) -> bool {
     const auto &own_version = version_of(board, what);
     auto &call = call_state_of(board, what);
-    if (own_version.as_of == 0)
+    if (own_version.as_of == store_revision{})
         return now - board.started >= start_delay(board);
     if (now - board.started < rank_unknown_time(board, what))
         return call.needs_list || (board.first_start && is_seed(board));
@@ -158,15 +161,18 @@
     // state up to date. Not so for evacuations: flows would be placed on a
     // domain whose evacuation is older than the list, after a restart of all
     // balancers for longer than the time bound.
-    if (own_version.as_of == 0)
+    if (own_version.as_of == store_revision{})
         return store_call{.what = what,
                           .list = true,
                           .may_be_stale =
                               !board.first_start && what != feed::evacuations};
-    if (call.needs_list)
+    // Revisions of another era are of no use for a watch.
+    if (call.needs_list || own_version.as_of.era != board.store_era.era)
         return store_call{.what = what, .list = true};
+    call.since = call.went_back_to != store_revision{} ? call.went_back_to
+                                                       : own_version.as_of;
     return store_call{.what = what,
-                      .since = own_version.as_of,
+                      .since = call.since,
                       .wait =
                           time_bound(board, what) * watch_wait_percent / 100};
 }
@@ -174,6 +180,10 @@
 auto schedule_next_call(blackboard &board, const store_answer &answer,
                         time_point now) -> void {
     auto &call = call_state_of(board, answer.what);
+    if (call.ignored) {
+        call.not_before = now + ignored_answer_delay;
+        return;
+    }
     switch (answer.outcome) {
     case store_outcome::listed:
     case store_outcome::history_gone:
@@ -181,6 +191,10 @@
         call.not_before = now;
         return;
     case store_outcome::changed: {
+        if (call.needs_list) {
+            call.not_before = now;
+            return;
+        }
         // Evacuations are rare and not batched, so that a further one is known
         // here even if the store fails soon after it.
         const auto changes =
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -57,7 +57,8 @@
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
                        "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
-                       to_string(static_cast<feed>(i)), it.versions[i].as_of,
+                       to_string(static_cast<feed>(i)),
+                       it.versions[i].as_of.number,
                        age_ms(it.versions[i].confirmed, now));
     }
 }
@@ -158,6 +159,7 @@
     write_gauge(out, "in_rotation", is_in_rotation(it) ? 1 : 0);
     write_gauge(out, "evacuated_domains", it.evacuations.domains.size());
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
+    write_gauge(out, "store_era", it.store_era.era);
     write_feeds(out, it, now);
     write_cold_quota(out, it.steering.upstreams, now);
     write_admission(out, it.steering, now);
@@ -181,7 +183,7 @@
         fmt::format_to(std::back_inserter(out),
                        R"({}"{}":{{"as_of":{},"unconfirmed_ms":{}}})",
                        i == 0 ? "" : ",", to_string(static_cast<feed>(i)),
-                       it.versions[i].as_of,
+                       it.versions[i].as_of.number,
                        age_ms(it.versions[i].confirmed, now));
     }
     fmt::format_to(std::back_inserter(out), R"(}},"upstreams":[)");
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 
 #include "carried/feeds/configuration.hpp"
+#include "carried/feeds/store_revision.hpp"
 #include "carried/quota/cold_usage.hpp"
 #include "carried/upstreams/selection_index.hpp"
 
@@ -37,8 +38,12 @@
     std::uint16_t slots = 1; ///< number of requests processed in parallel
     upstream_state state = upstream_state::ready;
     milliseconds cold_remaining{0}; ///< time until the upstream is warmed up
-    std::uint64_t revision = 0;   ///< store revision of the entry's last change
-    std::uint64_t changed_at = 0; ///< first store revision that shows `state`
+    store_revision revision;        ///< of the entry's last change
+    store_revision changed_at;      ///< first store revision that shows `state`
+    /// The entry is known to have been written or removed in the era of
+    /// `changed_at`, not only to be in, or missing from, the copy from which
+    /// the store was restored at the start of that era. Not used in era 0.
+    bool written_in_era = false;
 };
 
 struct endpoint_hash {
@@ -129,7 +134,7 @@
     boost::unordered_flat_map<endpoint, upstream_index, endpoint_hash>
         by_address;
     /// Highest `changed_at` of the upstreams that were removed from the table.
-    std::uint64_t forgotten = 0;
+    store_revision forgotten;
     /// Upstreams with failures not yet reported to their outlier detector.
     std::vector<upstream_index> unreported_failures;
     /// Upstreams that this instance has ejected, or whose probation it has
@@ -161,7 +166,8 @@
 /// Binding code of an incarnation: the same on every balancer, never 0.
 auto binding_code(const upstream_record &record) -> std::uint32_t;
 
-/// Applies a record unless the same or a newer one of this upstream is known. A
+/// Applies a record unless the same or a newer one of this upstream is known,
+/// see `merge_record`. A
 /// new incarnation gets an element and a binding code of its own; the element
 /// of the previous incarnation becomes `gone` and can still be found by its
 /// code. If a record shows an incarnation that was replaced before, because a
@@ -183,11 +189,12 @@
 /// Precondition: `present` is sorted.
 auto retire_missing(upstream_table &table,
                     const std::vector<std::string> &present,
-                    std::uint64_t as_of, upstream_state state, time_point now)
-    -> bool;
+                    const store_revision &as_of, upstream_state state,
+                    time_point now) -> bool;
 
 /// Sets the state of upstreams that have been `lapsed` for `lapse_grace` to
-/// `gone`, and removes those that have been `gone` for `retention`.
+/// `gone`, and removes those that have been `gone` for `retention`, except if
+/// `is_gone_despite_entry` holds.
 auto expire_upstreams(upstream_table &table, milliseconds retention,
                       time_point now) -> void;
 
