--- a/src/libdogwoodtrack/carried/evacuation_log.cpp
+++ b/src/libdogwoodtrack/carried/evacuation_log.cpp
@@ -54,7 +54,7 @@
                {"count", std::uint64_t{board.evacuations.domains.size()}},
                {"version", version.content.number},
                {"era", version.content.era},
-               {"as_of", version.as_of},
+               {"as_of", version.as_of.number},
                {"source", from == 0 ? std::string("store")
                                     : to_string(endpoint{.address = from})},
                {"cause", std::string(cause)},
