report: no metrics of cold upstreams without the setting

Cause: the gauge of balancers that share a quota showed a meaningless value where cold-overage is not set. Change: the metrics of cold upstreams are left out then.

--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -57,6 +57,8 @@
 auto write_cold_quota(buffer &out, const upstream_table &upstreams,
                       time_point now) -> void {
     const auto &quota = upstreams.cold;
+    if (quota.bounds.overage <= 0)
+        return;
     const auto &counters = quota.counters;
     write_counter(out, "cold_openings_total", counters.openings);
     write_counter(out, "cold_requests_total", counters.requests);
