--- a/src/libdogwoodtrack/carried/load/coordinator_choice.cpp
+++ b/src/libdogwoodtrack/carried/load/coordinator_choice.cpp
@@ -10,28 +10,25 @@
 /// many as are sent within `coordinator_silence`.
 constexpr std::uint32_t silent_reports = 4;
 
-auto is_silent(const coordinator_choice &it, time_point now) -> bool {
+} // namespace
+
+auto is_coordinator_silent(const coordinator_choice &it, time_point now)
+    -> bool {
     return it.unanswered_reports >= silent_reports &&
            now - it.waiting_since >= coordinator_silence + it.plan_interval;
 }
 
-} // namespace
-
 auto elect_coordinator(coordinator_choice &it, const fleet &members,
                        time_point now) -> std::uint32_t {
     boost::unordered::erase_if(
         it.skipped, [&](const auto &entry) { return entry.second <= now; });
-    if (is_silent(it, now))
+    if (is_coordinator_silent(it, now))
         it.skipped[it.elected] = now + coordinator_skip_time;
     std::vector<std::uint32_t> skipped;
     for (const auto &[address, until] : it.skipped)
         skipped.push_back(address);
     const auto elected =
-        elect_in_domain(members,
-                        {.failure_domain = members.self.failure_domain,
-                         .purpose = load_purpose,
-                         .skipped = skipped},
-                        now);
+        elect_in_own_domain(members, load_purpose, skipped, now);
     if (elected != it.elected)
         it = {.elected = elected, .skipped = std::move(it.skipped)};
     return elected;
--- a/src/libdogwoodtrack/carried/load/coordinator_choice.hpp
+++ b/src/libdogwoodtrack/carried/load/coordinator_choice.hpp
@@ -31,6 +31,10 @@
     boost::unordered_flat_map<std::uint32_t, time_point> skipped;
 };
 
+/// Whether the elected coordinator counts as silent.
+auto is_coordinator_silent(const coordinator_choice &it, time_point now)
+    -> bool;
+
 /// Elects the coordinator: the first balancer in the order of `domain_leader`
 /// that is not skipped. The elected one is skipped first if it is silent.
 /// Returns its address.
--- a/src/libdogwoodtrack/carried/load/domain_exchange.cpp
+++ b/src/libdogwoodtrack/carried/load/domain_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "carried/load/coordinator_choice.hpp"
 #include "carried/load/sequence.hpp"
 
 namespace dogwoodtrack::carried {
@@ -99,32 +98,13 @@
     return sum;
 }
 
-auto coordinator_of(const domain_exchange &it, const fleet &members,
-                    std::uint32_t failure_domain, time_point now)
-    -> std::uint32_t {
-    const auto found = it.domains.find(failure_domain);
-    if (found != it.domains.end() &&
-        now - found->second.received < domain_load_lifetime)
-        return found->second.coordinator;
-    return elect_in_domain(members,
-                           {.failure_domain = failure_domain,
-                            .purpose = load_purpose,
-                            .skipped = {}},
-                           now);
-}
-
-auto other_domains(const fleet &members, time_point now)
-    -> std::vector<std::uint32_t> {
-    std::vector<std::uint32_t> domains;
-    for (const auto &[address, member] : members.others) {
-        if (member.failure_domain == members.self.failure_domain ||
-            !is_live(members, member, now))
-            continue;
-        if (std::find(domains.begin(), domains.end(), member.failure_domain) ==
-            domains.end())
-            domains.push_back(member.failure_domain);
-    }
-    return domains;
+auto coordinator_of(const domain_exchange &it, const elected_member &elected,
+                    time_point now) -> std::uint32_t {
+    const auto found = it.domains.find(elected.failure_domain);
+    return found != it.domains.end() &&
+                   now - found->second.received < domain_load_lifetime
+               ? found->second.coordinator
+               : elected.address;
 }
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/load/domain_exchange.hpp
+++ b/src/libdogwoodtrack/carried/load/domain_exchange.hpp
@@ -55,13 +55,8 @@
 auto placed_by_others(const domain_exchange &it, service_key service) -> float;
 
 /// The balancer to which the load of the own domain is sent: the one that sent
-/// its domain's load lately, else the elected one. 0 if none is known.
-auto coordinator_of(const domain_exchange &it, const fleet &members,
-                    std::uint32_t failure_domain, time_point now)
-    -> std::uint32_t;
-
-/// Failure domains of live members besides the own one.
-auto other_domains(const fleet &members, time_point now)
-    -> std::vector<std::uint32_t>;
+/// its domain's load lately, else the elected one.
+auto coordinator_of(const domain_exchange &it, const elected_member &elected,
+                    time_point now) -> std::uint32_t;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/load/load_coordinator.cpp
+++ b/src/libdogwoodtrack/carried/load/load_coordinator.cpp
@@ -92,6 +92,7 @@
     summed_load sum;
     sum.upstreams = std::exchange(it.arrived, {});
     sum.unanswered = std::exchange(it.unanswered, {});
+    it.arrived.reserve(sum.upstreams.size());
     for (auto &[code, one] : sum.upstreams) {
         if (one.answers > 0)
             one.service_ms /= static_cast<float>(one.answers);
--- a/src/libdogwoodtrack/carried/load/load_exchange.cpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange.cpp
@@ -35,6 +35,24 @@
     return addresses;
 }
 
+// Elects the coordinator and updates what is known of the members. In a large
+// fleet, gossip takes seconds, and walks over all members are expensive.
+auto update_members(blackboard &board, time_point now) -> void {
+    constexpr std::size_t large_fleet = 1'000;
+    auto &load = board.load;
+    const auto interval = board.members.others.size() < large_fleet
+                              ? milliseconds{0}
+                              : idle_plan_interval;
+    if (now - load.members_updated < interval &&
+        !is_coordinator_silent(load.choice, now))
+        return;
+    load.members_updated = now;
+    elect_coordinator(load.choice, board.members, now);
+    load.neighbours = active_neighbours(board.members, now);
+    load.other_domains =
+        elect_in_other_domains(board.members, load_purpose, now);
+}
+
 // ---- reports
 
 auto report(blackboard &board, time_point now,
@@ -42,7 +60,7 @@
     auto &load = board.load;
     const auto tracked = take_report(board.steering.flows.load, now);
     load.own = tracked.report;
-    const auto coordinator = elect_coordinator(load.choice, board.members, now);
+    const auto coordinator = load.choice.elected;
     if (!has_traffic(tracked.report) && tracked.unanswered.empty())
         return;
     const auto messages = split_report(tracked);
@@ -80,8 +98,8 @@
 }
 
 // Part of the domain's active balancers that reports to this one.
-auto reporting_part(const blackboard &board, time_point now) -> float {
-    const auto active = active_neighbours(board.members, now).size() + 1;
+auto reporting_part(const blackboard &board) -> float {
+    const auto active = board.load.neighbours.size() + 1;
     return std::min(1.0F, static_cast<float>(board.load.reports.latest.size()) /
                               static_cast<float>(active));
 }
@@ -93,7 +111,7 @@
     const auto is_sole =
         is_elected(board) && (board.load.foreign_plan == time_point{} ||
                               now - board.load.foreign_plan >= plan_lifetime);
-    return is_sole ? 1 : reporting_part(board, now);
+    return is_sole ? 1 : reporting_part(board);
 }
 
 auto unreachable_domains(const steering_state &steering)
@@ -131,11 +149,10 @@
 // Receivers of a plan: the balancers that report here, leaving ones included,
 // and unless this balancer takes another one for the coordinator, all active
 // balancers of the domain.
-auto plan_receivers(const blackboard &board, time_point now)
-    -> std::vector<std::uint32_t> {
+auto plan_receivers(const blackboard &board) -> std::vector<std::uint32_t> {
     std::vector<std::uint32_t> addresses;
     if (is_elected(board))
-        addresses = active_neighbours(board.members, now);
+        addresses = board.load.neighbours;
     for (const auto &[address, latest] : board.load.reports.latest) {
         if (address != own_address(board))
             addresses.push_back(address);
@@ -160,7 +177,7 @@
         apply_plan(board.steering.plans, own_address(board), plan, now);
     select_upstreams(load.planner, plan, now);
     const auto messages = split_plan(plan);
-    for (const auto to : plan_receivers(board, now)) {
+    for (const auto to : plan_receivers(board)) {
         add_messages(to, messages, out);
         load.counters.plans_sent += messages.size();
     }
@@ -227,15 +244,14 @@
     -> void {
     auto &exchange = board.load.domains;
     if (now - exchange.last_sent < domain_loads_interval ||
-        (!is_elected(board) && reporting_part(board, now) < speaker_part))
+        (!is_elected(board) && reporting_part(board) < speaker_part))
         return;
     exchange.last_sent = now;
     ++exchange.sequence;
     const auto elsewhere = in_flight_elsewhere(board, sum);
-    for (const auto domain : other_domains(board.members, now)) {
-        const auto to = coordinator_of(exchange, board.members, domain, now);
-        if (to == 0)
-            continue;
+    for (const auto &elected : board.load.other_domains) {
+        const auto domain = elected.failure_domain;
+        const auto to = coordinator_of(exchange, elected, now);
         auto message = make_domain_loads(board, domain, to, now);
         message.loads = loads_for(board, domain, elsewhere);
         const auto messages = split_domain_loads(message);
@@ -261,7 +277,7 @@
 // ---- plans that this balancer follows
 
 auto update_plans(blackboard &board, time_point now) -> void {
-    const auto balancers = active_neighbours(board.members, now).size() + 1;
+    const auto balancers = board.load.neighbours.size() + 1;
     update_own_shares(board.steering.plans,
                       {.own = board.load.own,
                        .balancers = static_cast<std::uint32_t>(balancers),
@@ -287,6 +303,7 @@
     if (!board.steering.plans.enabled || now < board.load.next_step)
         return;
     board.load.next_step = now + report_interval;
+    update_members(board, now);
     report(board, now, out);
     coordinate(board, now, out);
     update_plans(board, now);
--- a/src/libdogwoodtrack/carried/load/load_exchange_state.hpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange_state.hpp
@@ -36,6 +36,12 @@
     /// Setting `min-share`, for each priority.
     std::array<float, priority_count> min_share{};
     coordinator_choice choice;
+    /// Other active balancers of the own failure domain, and the coordinators
+    /// that other domains elect, as of `members_updated`. Kept, since finding
+    /// them takes a walk over all members.
+    std::vector<std::uint32_t> neighbours;
+    std::vector<elected_member> other_domains;
+    time_point members_updated{};
     report_table reports;
     load_planner planner;
     domain_exchange domains;
--- a/src/libdogwoodtrack/carried/load/load_planning.cpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -26,6 +26,8 @@
 constexpr float max_usual_speed = 1.25F;
 /// Relative change of a speed after which the entry is sent again soon.
 constexpr float sent_speed_change = 0.05F;
+/// Lower limit of the speed that a change is related to.
+constexpr float min_sent_speed = 0.01F;
 /// Rates are not smoothed after this time without a plan.
 constexpr milliseconds max_smoothing_gap{1'000};
 
@@ -297,10 +299,15 @@
     it.plan.demand = it.load.demand;
 }
 
-auto has_changed(const sent_upstream &sent, const upstream_plan &now) -> bool {
-    return sent.plan.limit != now.limit ||
-           std::abs(sent.plan.speed - now.speed) >
-               sent_speed_change * sent.plan.speed;
+// Relative change of the speed, or 0 if it is too small to matter. A limit that
+// has changed and an entry never sent before count as a large change.
+auto change_since(const sent_upstream *sent, const upstream_plan &now)
+    -> float {
+    if (sent == nullptr || sent->plan.limit != now.limit)
+        return 1;
+    const auto change = std::abs(sent->plan.speed - now.speed) /
+                        std::max(sent->plan.speed, min_sent_speed);
+    return change > sent_speed_change ? change : 0;
 }
 
 } // namespace
@@ -348,25 +355,27 @@
     struct candidate {
         service_plan *service;
         upstream_plan upstream;
-        bool changed;
+        float change;
         time_point sent;
     };
     std::vector<candidate> all;
     for (auto &service : plan.services) {
         for (const auto &one : std::exchange(service.upstreams, {})) {
-            const auto sent = it.sent.find(one.code);
-            const auto is_new = sent == it.sent.end();
-            all.push_back({.service = &service,
-                           .upstream = one,
-                           .changed = is_new || has_changed(sent->second, one),
-                           .sent = is_new ? time_point{} : sent->second.sent});
+            const auto found = it.sent.find(one.code);
+            const auto *sent =
+                found == it.sent.end() ? nullptr : &found->second;
+            all.push_back(
+                {.service = &service,
+                 .upstream = one,
+                 .change = change_since(sent, one),
+                 .sent = sent == nullptr ? time_point{} : sent->sent});
         }
     }
     const auto count = std::min(all.size(), max_sent_upstreams);
     std::partial_sort(
         all.begin(), all.begin() + static_cast<std::ptrdiff_t>(count),
         all.end(), [](const auto &a, const auto &b) {
-            return a.changed != b.changed ? a.changed : a.sent < b.sent;
+            return a.change != b.change ? a.change > b.change : a.sent < b.sent;
         });
     boost::unordered_flat_map<std::uint32_t, sent_upstream> sent;
     for (std::size_t i = 0; i < all.size(); ++i) {
--- a/src/libdogwoodtrack/carried/load/load_planning.hpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.hpp
@@ -79,13 +79,14 @@
 auto make_plan(load_planner &it) -> load_plan;
 
 /// Reduces the upstreams of a plan to be sent to `max_sent_upstreams`: first
-/// those that have changed since they were last sent, then those that were sent
-/// the longest time ago.
+/// those whose speed has changed most since they were last sent, then those
+/// that were sent the longest time ago.
 auto select_upstreams(load_planner &it, load_plan &plan, time_point now)
     -> void;
 
-/// Largest number of upstream entries in a plan that is sent. It keeps the
-/// plans that a balancer receives below 3 KB/s.
-inline constexpr std::size_t max_sent_upstreams = 32;
+/// Largest number of upstream entries in a plan that is sent. With it, a plan
+/// of four services has about 500 bytes, of which a balancer receives up to
+/// four a second.
+inline constexpr std::size_t max_sent_upstreams = 16;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -168,23 +168,41 @@
     return leader->address;
 }
 
-auto elect_in_domain(const fleet &members, const domain_task &task,
-                     time_point now) -> std::uint32_t {
-    const auto is_own = task.failure_domain == members.self.failure_domain;
-    const auto *leader =
-        is_own && !members.self.leaving ? &members.self : nullptr;
+auto elect_in_own_domain(const fleet &members, std::uint64_t purpose,
+                         std::span<const std::uint32_t> skipped, time_point now)
+    -> std::uint32_t {
+    const auto *leader = members.self.leaving ? nullptr : &members.self;
     for (const auto &[address, member] : members.others) {
-        if (member.failure_domain != task.failure_domain || member.leaving ||
-            !is_live(members, member, now) ||
-            std::find(task.skipped.begin(), task.skipped.end(), address) !=
-                task.skipped.end())
+        if (!is_active_in_own_domain(members, member, now) ||
+            std::find(skipped.begin(), skipped.end(), address) != skipped.end())
             continue;
-        if (leader == nullptr || comes_before(member, *leader, task.purpose))
+        if (leader == nullptr || comes_before(member, *leader, purpose))
             leader = &member;
     }
-    if (leader != nullptr)
-        return leader->address;
-    return is_own ? members.self.address : 0;
+    return leader == nullptr ? members.self.address : leader->address;
+}
+
+auto elect_in_other_domains(const fleet &members, std::uint64_t purpose,
+                            time_point now) -> std::vector<elected_member> {
+    std::vector<const fleet_member *> leaders;
+    for (const auto &[address, member] : members.others) {
+        if (member.failure_domain == members.self.failure_domain ||
+            member.leaving || !is_live(members, member, now))
+            continue;
+        const auto found = std::find_if(
+            leaders.begin(), leaders.end(), [&](const auto *leader) {
+                return leader->failure_domain == member.failure_domain;
+            });
+        if (found == leaders.end())
+            leaders.push_back(&member);
+        else if (comes_before(member, **found, purpose))
+            *found = &member;
+    }
+    std::vector<elected_member> elected;
+    for (const auto *leader : leaders)
+        elected.push_back({.failure_domain = leader->failure_domain,
+                           .address = leader->address});
+    return elected;
 }
 
 auto is_active_in_own_domain(const fleet &members, const fleet_member &member,
--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -106,20 +106,23 @@
 auto domain_leader(const fleet &members, std::uint64_t purpose, time_point now)
     -> std::uint32_t;
 
-/// A task for which a balancer of a failure domain is elected.
-struct domain_task {
+/// As `domain_leader`, but the balancers with the addresses `skipped` are not
+/// elected, nor is this balancer if it is leaving and there are others.
+auto elect_in_own_domain(const fleet &members, std::uint64_t purpose,
+                         std::span<const std::uint32_t> skipped, time_point now)
+    -> std::uint32_t;
+
+/// The balancer elected for a task of one failure domain.
+struct elected_member {
     std::uint32_t failure_domain = 0;
-    std::uint64_t purpose = 0; ///< as in `domain_leader`
-    /// Addresses of balancers that are not elected.
-    std::span<const std::uint32_t> skipped;
+    std::uint32_t address = 0;
 };
 
-/// Address of the balancer that is elected for a task of any failure domain, in
-/// the order of `domain_leader`. The candidates are the domain's balancers that
-/// are live, not leaving and not skipped. Without a candidate, returns the own
-/// address if the domain is the own one, otherwise 0.
-auto elect_in_domain(const fleet &members, const domain_task &task,
-                     time_point now) -> std::uint32_t;
+/// Balancers that the failure domains other than the own one elect for a task,
+/// in the order of `domain_leader`; one for each domain with a balancer that is
+/// live and not leaving.
+auto elect_in_other_domains(const fleet &members, std::uint64_t purpose,
+                            time_point now) -> std::vector<elected_member>;
 
 /// Whether the member is live, in the own failure domain and not leaving.
 auto is_active_in_own_domain(const fleet &members, const fleet_member &member,
