--- a/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
@@ -177,8 +177,22 @@
     CHECK(out.empty());
     CHECK(off.load.reports.latest.empty());
     CHECK(off.steering.plans.services.empty());
-    CHECK(encode(digest_message{}) ==
-          encode(digest_message{.limit_binds = false}));
+    off.steering.plans.services.push_back(
+        {.plan = {.service = bookings, .admit = {}}, .received = it.now});
+    send_digests(off, it.now, out);
+    REQUIRE_FALSE(out.empty());
+    CHECK_FALSE(std::get<digest_message>(out[0].message).limit_binds);
+    enable_load_exchange(off, true);
+    apply_plan(
+        off.steering.plans, 2,
+        {.sequence = 1, .services = {{.service = bookings, .admit = {}}}},
+        it.now);
+    out.clear();
+    send_digests(off, it.now, out);
+    const auto buf = encode(out.at(0).message);
+    const auto read = decode_peer_message({buf.data(), buf.size()});
+    REQUIRE(read);
+    CHECK(std::get<digest_message>(*read).limit_binds);
 }
 
 // Guards against capacity that stays reserved for a dead balancer, and against
--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -185,7 +185,8 @@
 auto elect_in_other_domains(const fleet &members, std::uint64_t purpose,
                             time_point now) -> std::vector<elected_member> {
     std::vector<const fleet_member *> leaders;
-    for (const auto &[address, member] : members.others) {
+    for (const auto &entry : members.others) {
+        const auto &member = entry.second;
         if (member.failure_domain == members.self.failure_domain ||
             member.leaving || !is_live(members, member, now))
             continue;
