--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -200,6 +200,7 @@
             *found = &member;
     }
     std::vector<elected_member> elected;
+    elected.reserve(leaders.size());
     for (const auto *leader : leaders)
         elected.push_back({.failure_domain = leader->failure_domain,
                            .address = leader->address});
