--- a/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
@@ -271,7 +271,7 @@
             }
             auto record = one.record;
             record.state = upstream_state::draining;
-            record.revision = 9;
+            record.revision = {.number = 9};
             apply_record(it.table, record, it.now);
         }
         CHECK(it.count_by_domain(40)[1] == 40);
