--- a/src/dogwoodtrack-bench/carried_bench.cpp
+++ b/src/dogwoodtrack-bench/carried_bench.cpp
@@ -37,7 +37,7 @@
                       .failure_domain = i % domains,
                       .slots = 2,
                       .cold_remaining = seconds{cold ? 60 : 0},
-                      .revision = i + 1},
+                      .revision = {.number = i + 1}},
                      now);
     configuration in_force;
     in_force.routes.push_back(
