--- a/fuzz/carried_quota.cpp
+++ b/fuzz/carried_quota.cpp
@@ -22,7 +22,7 @@
     it.steering.upstreams_known = true;
     it.steering.upstreams.cold.bounds = {.overage = 1.5, .slack = 5};
     auto next = std::make_shared<configuration>();
-    next->revision = 1;
+    next->revision = {.number = 1};
     next->routes.push_back({.address = service_address,
                             .services = {{.service = 1, .cold_per_s = 10}}});
     activate_configuration(it, next);
@@ -32,7 +32,7 @@
                   .service = 1,
                   .failure_domain = 1,
                   .cold_remaining = std::chrono::hours{1},
-                  .revision = 1},
+                  .revision = {.number = 1}},
                  start);
     return it;
 }
--- a/src/libdogwoodtrack/carried/quota/cold_quota_test.cpp
+++ b/src/libdogwoodtrack/carried/quota/cold_quota_test.cpp
@@ -201,8 +201,10 @@
     receiver.steering.upstreams.cold.bounds = bounds;
     const auto now = start + seconds{20};
     for (auto &version : sender.versions)
-        version = {
-            .content = 1, .as_of = 1, .confirmed = now, .complete = true};
+        version = {.content = {.number = 1},
+                   .as_of = {.number = 1},
+                   .confirmed = now,
+                   .complete = true};
     for (const auto what : {feed::configuration, feed::upstreams}) {
         std::vector<outgoing_message> out;
         on_peer_message(sender, 2, pull_message{.what = what}, now, out);
