standin: processes started by several threads do not wait for one another

Boost.Process marks the pipe on which it awaits the start of a process as close-on-exec only after creating it.

Starts now hold a mutex.

--- a/src/libstandin/process.cpp
+++ b/src/libstandin/process.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <sstream>
 
 #include <boost/process.hpp>
@@ -14,6 +15,12 @@
 
 namespace bp = boost::process;
 
+/// Held while a process is started. Boost.Process marks the pipe that it awaits
+/// the start on as close-on-exec only after creating it. A process that another
+/// thread started in between would inherit the pipe and hold it open, so that
+/// the start would last until that process ends.
+std::mutex start_mutex;
+
 // CPU time in user and system mode from the text of a /proc stat file.
 auto cpu_seconds(const std::string &stat) -> double {
     // The second field, the command name in parentheses, may itself contain
@@ -63,6 +70,7 @@
     -> result<std::unique_ptr<process>> {
     auto new_state = std::make_unique<state>();
     std::error_code ec;
+    const std::lock_guard lock(start_mutex);
     new_state->child =
         bp::child(program, bp::args(arguments), bp::std_err > log_path,
                   bp::std_out > bp::null, bp::std_in < bp::null, ec);
--- a/src/libstandin/process.hpp
+++ b/src/libstandin/process.hpp
@@ -19,7 +19,8 @@
 class process {
 public:
     /// Starts `program` with its standard error written to `log_path`. Fails
-    /// with `error_kind::scenario_invalid` if it cannot be started.
+    /// with `error_kind::scenario_invalid` if it cannot be started. Thread
+    /// safe.
     static auto start(const std::string &program,
                       const std::vector<std::string> &arguments,
                       const std::string &log_path)
