load reports: the load of a priority names it

The coordinator took the openings of priority 1 for those of 0, and so on, if priority 0 had none: protozero leaves out empty messages, and the reader counted the others.

--- a/src/libdogwoodtrack/carried/feeds/load_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/load_fields.hpp
@@ -16,7 +16,8 @@
 enum class priority_load_field : protozero::pbf_tag_type {
     openings = 1,
     admitted = 2,
-    requests = 3
+    requests = 3,
+    priority = 4
 };
 enum class service_load_field : protozero::pbf_tag_type {
     service = 1,
--- a/src/libdogwoodtrack/carried/feeds/load_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/load_messages_read.cpp
@@ -22,8 +22,11 @@
     return read_quantity(in, 1);
 }
 
-auto read_priority(reader<priority_load_field> in) -> priority_load {
+// Reads the load of one priority into its element. Loads of unknown priorities
+// are ignored.
+auto read_priority(reader<priority_load_field> in, service_load &to) -> void {
     priority_load it;
+    std::size_t priority = 0;
     while (in.next()) {
         switch (in.tag()) {
         case priority_load_field::openings:
@@ -35,27 +38,27 @@
         case priority_load_field::requests:
             it.requests = in.get_uint32();
             break;
+        case priority_load_field::priority:
+            priority = in.get_uint32();
+            break;
         default:
             in.skip();
         }
     }
-    return it;
+    if (priority < priority_count)
+        to.priorities[priority] = it;
 }
 
 auto read_service_load(reader<service_load_field> in) -> service_load {
     service_load it;
-    std::size_t priority = 0;
     while (in.next()) {
         switch (in.tag()) {
         case service_load_field::service:
             it.service = in.get_fixed64();
             break;
-        case service_load_field::priority: {
-            const auto load = read_priority(in.get_message());
-            if (priority < priority_count)
-                it.priorities[priority++] = load;
+        case service_load_field::priority:
+            read_priority(in.get_message(), it);
             break;
-        }
         case service_load_field::in_flight:
             it.in_flight = in.get_uint32();
             break;
--- a/src/libdogwoodtrack/carried/feeds/load_messages_write.cpp
+++ b/src/libdogwoodtrack/carried/feeds/load_messages_write.cpp
@@ -8,7 +8,7 @@
 
 /// Upper limits of encoded sizes in bytes.
 constexpr std::size_t envelope_size = 64;
-constexpr std::size_t service_load_size = 120;
+constexpr std::size_t service_load_size = 128;
 constexpr std::size_t upstream_load_size = 30;
 constexpr std::size_t unanswered_size = 13;
 constexpr std::size_t service_plan_size = 52;
@@ -24,11 +24,14 @@
 
 auto write(builder<service_load_field> out, const service_load &it) -> void {
     out.add_fixed64(service_load_field::service, it.service);
-    for (const auto &one : it.priorities) {
+    // Each one names its priority, since protozero leaves out empty messages.
+    for (std::size_t i = 0; i < priority_count; ++i) {
+        const auto &one = it.priorities[i];
         builder<priority_load_field> to(out, service_load_field::priority);
         add_count(to, priority_load_field::openings, one.openings);
         add_count(to, priority_load_field::admitted, one.admitted);
         add_count(to, priority_load_field::requests, one.requests);
+        add_count(to, priority_load_field::priority, i);
     }
     add_count(out, service_load_field::in_flight, it.in_flight);
     add_count(out, service_load_field::answers, it.answers);
--- a/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
@@ -455,6 +455,28 @@
     CHECK(plan_for(plans, bookings, start)->upstreams.size() == count);
 }
 
+// Guards against demand that counts as that of a more urgent priority, because
+// an empty message of another priority is left out.
+TEST_CASE("the load of a priority is received as that priority's, whatever the "
+          "others have") {
+    for (std::size_t i = 0; i < priority_count; ++i) {
+        service_load sent{.service = bookings};
+        sent.priorities[i] = {.openings = 5, .admitted = 3, .requests = 7};
+        const auto buf = encode(load_report_message{
+            .report = {.sequence = 1, .services = {sent}, .upstreams = {}},
+            .unanswered = {}});
+        const auto read = decode_peer_message({buf.data(), buf.size()});
+        REQUIRE(read);
+        const auto &received =
+            std::get<load_report_message>(*read).report.services.at(0);
+        for (std::size_t j = 0; j < priority_count; ++j) {
+            CHECK(received.priorities[j].openings == (i == j ? 5 : 0));
+            CHECK(received.priorities[j].admitted == (i == j ? 3 : 0));
+            CHECK(received.priorities[j].requests == (i == j ? 7 : 0));
+        }
+    }
+}
+
 // Guards against quantities that spread through all sums once received.
 TEST_CASE("numbers out of range in a message are brought into range") {
     load_plan plan{.sequence = 1, .services = {{.service = bookings}}};
