admission, selection: room by priority over established flows, overflow

Causes, seen in the plans of a coordinator: - All requests on established flows took room before any new flow, so urgent callers that open a flow for each request were rejected while less urgent ones kept theirs. Room is now allotted by priority over both. - Rejections of full upstreams ejected them until the slots of 2 of the 14 live upstreams of a domain were left, so the limit fell with them. Errors of a service that is overloaded by the plan eject nothing now. - The limit was halved every 450 ms by rejections of requests sent before it, and grew by 0.1 a second. Only overload that lasts a second reduces it now, not below one request for each slot, and growth accelerates as in CUBIC. - Requests that hang at silent upstreams counted as under way. - Flows stayed in a domain without free slots until the next plan. They are now shared by the rule without plans, with the plan's speeds.

The test that flows stay at home beyond the domain's slots is replaced by two: they stay while it has slots free, and are shared beyond.

--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
@@ -14,9 +14,8 @@
 /// every second slot has another waiting. With 2, upstreams rejected twice as
 /// much at the beginning of a crowd.
 constexpr float initial_room = 1.5F;
-/// Upstreams of two slots without a queue reject requests at a mean load of
-/// about half of their slots, because balancers do not know each other's flows.
-constexpr float min_room = 0.5F;
+/// With less, slots would be idle while callers are refused.
+constexpr float min_room = 1;
 /// Larger queues at upstreams do not increase throughput.
 constexpr float max_room = 4;
 /// The bound that the target latency sets is at least this, because slots must
@@ -30,9 +29,10 @@
 constexpr float max_cut = 0.5F;
 /// A queue that grew over several intervals asks for a small reduction only.
 constexpr float max_delay_cut = 0.15F;
-/// A reduction shows in the next plan's reports at the earliest, so a second
-/// one within this time would answer the same overload twice.
-constexpr milliseconds reduction_interval{450};
+/// Overload that lasts for this time leads to a reduction. A limit shows in the
+/// reports after two intervals of 250 ms, and rejections for as long again,
+/// since upstreams reject requests after they have waited in a full queue.
+constexpr milliseconds reduction_interval{1'000};
 /// Samples with fewer outcomes are too noisy to judge by.
 constexpr std::uint32_t min_outcomes = 10;
 /// Rejections below this part of the slots or limit are failures, not overload.
@@ -42,8 +42,11 @@
 /// The room returns quickly to this part of the ceiling and probes from there.
 constexpr float safe_fraction = 0.95F;
 constexpr float recovery_s = 0.5F;
-/// Growth of the room per second beyond the safe part of the ceiling.
+/// Growth of the room per second beyond the safe part of the ceiling. As in
+/// CUBIC (RFC 9438) it accelerates: after t seconds without overload it is this
+/// value times 1 + t^2.
 constexpr float probing_per_s = 0.1F;
+constexpr float max_acceleration_s = 3;
 /// Growth per second towards `initial_room` while the limit is not reached.
 constexpr float idle_growth_per_s = 0.02F;
 /// Time constant of the baseline's fall, and its relative rise per second. A
@@ -65,6 +68,12 @@
     return std::uint64_t{sample.answers} + sample.rejections >= min_outcomes;
 }
 
+auto rejected_part(const limit_sample &sample) -> float {
+    const auto rejections = static_cast<float>(sample.rejections);
+    const auto outcomes = static_cast<float>(sample.answers) + rejections;
+    return outcomes > 0 ? rejections / outcomes : 0;
+}
+
 // Both the mean response time and the time that all slots together spend per
 // answer are upper bounds of the service time: the first includes queueing, the
 // second idle slots. The second one holds under overload, when every response
@@ -82,6 +91,10 @@
 auto update_baseline(adaptive_limit &it, const limit_sample &sample) -> void {
     if (sample.answers < min_outcomes || sample.service_ms <= 0)
         return;
+    // Rejections that have waited in a full queue pass for answers, so there
+    // seem to be more answers than there are.
+    if (it.baseline_ms > 0 && rejected_part(sample) > tolerated_rejections)
+        return;
     const auto bound = service_time_bound(it, sample);
     const auto s = interval_s(sample);
     if (it.baseline_ms <= 0)
@@ -112,9 +125,7 @@
     if (!has_outcomes(sample) ||
         in_flight < busy_fraction * std::min(sample.slots, it.limit))
         return 0;
-    const auto total = static_cast<float>(sample.answers) +
-                       static_cast<float>(sample.rejections);
-    const auto rejected = static_cast<float>(sample.rejections) / total;
+    const auto rejected = rejected_part(sample);
     if (rejected > tolerated_rejections)
         return std::clamp(rejected, min_cut, max_cut);
     const auto allowed_ms = it.baseline_ms + queueing_allowance_ms(sample);
@@ -126,27 +137,47 @@
                       max_delay_cut);
 }
 
-auto reduce(adaptive_limit &it, float cut, float reached, time_point now)
-    -> void {
+// Lower limit of the room. Requests on established flows cannot be refused, so
+// their rejection does not show how many new flows the upstreams bear.
+auto lowest_room(const limit_sample &sample) -> float {
+    return std::max(min_room,
+                    std::min(initial_room, sample.established / sample.slots));
+}
+
+auto reduce(adaptive_limit &it, const limit_sample &sample, float cut,
+            float reached, time_point now) -> void {
     // The overload occurred at the concurrency reached, which may be far below
     // a limit that did not bind.
     constexpr float snapshot_margin = 1.1F;
     const auto base = std::min(it.room, reached * snapshot_margin);
-    it.room = std::max(min_room, base * (1 - cut));
-    it.ceiling = std::max(min_room, base * (1 - cut / 2));
-    it.reduced = now;
+    const auto lowest = lowest_room(sample);
+    it.room = std::max(lowest, base * (1 - cut));
+    it.ceiling = std::max(lowest, base * (1 - cut / 2));
+    it.overloaded_since = now;
+    it.probing_since = {};
 }
 
-auto grow(adaptive_limit &it, const limit_sample &sample, float in_flight)
-    -> void {
+// Growth of the room in this interval while the limit is reached.
+auto probing_step(adaptive_limit &it, float interval, time_point now) -> float {
+    if (it.probing_since == time_point{})
+        it.probing_since = now;
+    const auto t =
+        std::min(max_acceleration_s,
+                 std::chrono::duration<float>(now - it.probing_since).count());
+    return probing_per_s * (1 + t * t) * interval;
+}
+
+auto grow(adaptive_limit &it, const limit_sample &sample, float in_flight,
+          time_point now) -> void {
     const auto s = interval_s(sample);
     const auto safe = it.ceiling * safe_fraction;
-    const auto probing = probing_per_s * s;
     const auto recovery = (safe - it.room) * (1 - std::exp(-s / recovery_s));
+    if (in_flight < reached_fraction * it.limit)
+        it.probing_since = {};
     if (it.room < safe)
-        it.room += std::max(probing, recovery);
+        it.room += std::max(probing_per_s * s, recovery);
     else if (in_flight >= reached_fraction * it.limit)
-        it.room += probing;
+        it.room += probing_step(it, s, now);
     else if (it.room < initial_room)
         it.room += idle_growth_per_s * s;
 }
@@ -156,12 +187,16 @@
     const auto in_flight = std::max(sample.in_flight, it.in_flight);
     const auto cut = required_cut(it, sample, in_flight);
     if (cut == 0) {
+        it.overloaded_since = {};
         if (has_outcomes(sample))
-            grow(it, sample, in_flight);
-    } else if (it.reduced == time_point{} ||
-               now - it.reduced >= reduction_interval) {
-        reduce(it, cut, in_flight / sample.slots, now);
+            grow(it, sample, in_flight, now);
+        return;
     }
+    it.probing_since = {};
+    if (it.overloaded_since == time_point{})
+        it.overloaded_since = now;
+    if (now - it.overloaded_since >= reduction_interval)
+        reduce(it, sample, cut, in_flight / sample.slots, now);
 }
 
 } // namespace
@@ -169,7 +204,7 @@
 auto update_limit(adaptive_limit &it, const limit_sample &sample,
                   time_point now) -> float {
     if (!is_quantity(sample.slots) || !is_quantity(sample.in_flight) ||
-        !is_quantity(sample.service_ms))
+        !is_quantity(sample.established) || !is_quantity(sample.service_ms))
         return it.limit;
     update_baseline(it, sample);
     if (it.room <= 0)
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit_test.cpp
@@ -131,6 +131,41 @@
     CHECK(it.limit.limit == 0);
 }
 
+// Guards against a limit that collapses, and keeps urgent flows out for seconds
+// after a crowd, because upstreams reject requests on established flows.
+TEST_CASE("rejections do not reduce the limit below the requests on "
+          "established flows") {
+    closed_loop it{.demand = 7'000};
+    it.run(seconds{3});
+    const auto established = it.slots * 1.25F;
+    for (int i = 0; i < 20; ++i) {
+        it.now += milliseconds{250};
+        update_limit(it.limit,
+                     {.slots = it.slots,
+                      .in_flight = 2 * it.slots,
+                      .established = established,
+                      .answers = 2'000,
+                      .rejections = 3'000,
+                      .service_ms = 60,
+                      .target_latency = milliseconds{500},
+                      .interval = milliseconds{250}},
+                     it.now);
+    }
+    CHECK(it.limit.limit == doctest::Approx(established));
+}
+
+// Guards against slots that stay idle for many seconds where upstreams queue
+// more than the first limit assumes.
+TEST_CASE("the limit grows faster the longer upstreams bear it") {
+    closed_loop it{.held_per_slot = 8, .demand = 16'000};
+    it.run(seconds{1});
+    const auto before = it.limit.room;
+    it.run(seconds{1});
+    const auto in_second = it.limit.room - before;
+    it.run(seconds{1});
+    CHECK(it.limit.room - before > 2.5F * in_second);
+}
+
 // Guards against a baseline that takes slower processing for queueing, and
 // thereby shrinks the limit without end.
 TEST_CASE("slow decline: upstreams that become slower are still kept busy") {
--- a/src/libdogwoodtrack/carried/admission/allocation.cpp
+++ b/src/libdogwoodtrack/carried/admission/allocation.cpp
@@ -24,13 +24,16 @@
     return std::accumulate(values.begin(), values.end(), 0.0F);
 }
 
-// Room that each priority gets before the order of priority applies.
-auto guaranteed_room(const quantities &demand, const quantities &min_share,
-                     float room) -> quantities {
+// Room for the new flows of each priority before the order of priority applies.
+auto guaranteed_room(const allocation_input &input, const quantities &demand,
+                     const quantities &established, float room) -> quantities {
+    const auto min_share = sanitize(input.min_share);
     const auto shares = std::max(1.0F, sum(min_share));
     quantities guaranteed{};
-    for (std::size_t i = 0; i < priority_count; ++i)
-        guaranteed[i] = std::min(demand[i], room * min_share[i] / shares);
+    for (std::size_t i = 0; i < priority_count; ++i) {
+        const auto share = room * min_share[i] / shares;
+        guaranteed[i] = std::clamp(share - established[i], 0.0F, demand[i]);
+    }
     return guaranteed;
 }
 
@@ -41,14 +44,17 @@
     const auto limit = quantity_or_zero(input.limit);
     if (limit == 0)
         return admit;
-    const auto room =
-        std::max(0.0F, limit - quantity_or_zero(input.established)) +
-        quantity_or_zero(input.spilled);
+    const auto room = limit + quantity_or_zero(input.spilled);
     const auto demand = sanitize(input.demand);
-    const auto guaranteed =
-        guaranteed_room(demand, sanitize(input.min_share), room);
-    auto left = std::max(0.0F, room - sum(guaranteed));
+    const auto established = sanitize(input.established);
+    const auto guaranteed = guaranteed_room(input, demand, established, room);
+    auto left = room - sum(guaranteed);
+    // Established flows stay in the domain, so they take nothing of `spilled`.
+    auto left_for_established = limit;
     for (std::size_t i = 0; i < priority_count; ++i) {
+        const auto taken = std::min(established[i], left_for_established);
+        left_for_established -= taken;
+        left = std::max(0.0F, left - taken);
         if (demand[i] == 0) {
             admit[i] = left > 0 ? 1 : 0;
             continue;
--- a/src/libdogwoodtrack/carried/admission/allocation_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/allocation_test.cpp
@@ -9,8 +9,9 @@
 // Guards against urgent flows that are rejected in favour of less urgent ones.
 TEST_CASE("half of the upstreams gone: room is filled in the order of "
           "priority") {
-    const auto admit = allocate_admission(
-        {.limit = 120, .established = 20, .demand = {0, 60, 80, 10}});
+    const auto admit = allocate_admission({.limit = 120,
+                                           .established = {20, 0, 0, 0},
+                                           .demand = {0, 60, 80, 10}});
     CHECK(admit[0] == 1);
     CHECK(admit[1] == 1);
     CHECK(admit[2] == doctest::Approx(0.5));
@@ -40,13 +41,40 @@
 TEST_CASE("requests on established flows come first, spilled ones take no "
           "room") {
     allocation_input input{
-        .limit = 100, .established = 150, .demand = {50, 50, 0, 0}};
+        .limit = 100, .established = {150, 0, 0, 0}, .demand = {50, 50, 0, 0}};
     CHECK(allocate_admission(input)[0] == 0);
     input.spilled = 75;
     CHECK(allocate_admission(input)[0] == 1);
     CHECK(allocate_admission(input)[1] == doctest::Approx(0.5));
 }
 
+// Guards against urgent flows that are rejected, as long as less urgent callers
+// keep the flows that they have, although the upstreams have room for them.
+TEST_CASE("one class opens a flow for each request, the other keeps its own: "
+          "the urgent one is admitted") {
+    allocation_input input{
+        .limit = 100, .established = {0, 10, 140, 0}, .demand = {0, 80, 60, 0}};
+    CHECK(allocate_admission(input)[1] == 1);
+    CHECK(allocate_admission(input)[2] == 0);
+    input.established[1] = 60;
+    CHECK(allocate_admission(input)[1] == doctest::Approx(0.5));
+    input.established = {0, 10, 0, 0};
+    CHECK(allocate_admission(input)[1] == 1);
+    CHECK(allocate_admission(input)[2] == doctest::Approx(10.0 / 60));
+}
+
+// Guards against a minimum share that comes on top of the established flows.
+TEST_CASE("established flows count towards the minimum share") {
+    allocation_input input{.limit = 100,
+                           .established = {0, 0, 15, 0},
+                           .demand = {0, 1'000, 40, 0},
+                           .min_share = {0, 0, 0.2F, 0}};
+    CHECK(allocate_admission(input)[2] == doctest::Approx(5.0 / 40));
+    input.established[2] = 30;
+    CHECK(allocate_admission(input)[2] == 0);
+    CHECK(allocate_admission(input)[1] == doctest::Approx(0.1));
+}
+
 TEST_CASE("an unknown limit, room for all, and malformed quantities admit "
           "all") {
     for (const auto &input :
@@ -54,7 +82,7 @@
           allocation_input{.limit = 20.1F, .demand = {5, 5, 5, 5}},
           allocation_input{.limit = std::nanf(""), .demand = {5, 5, 5, 5}},
           allocation_input{.limit = 11,
-          .established = -4,
+          .established = {-4, 0, 0, 0},
           .demand = {5, std::nanf(""), -1, 5}}}) {
         for (const auto part : allocate_admission(input))
             CHECK(part == 1);
--- a/src/libdogwoodtrack/carried/load/load_coordinator.cpp
+++ b/src/libdogwoodtrack/carried/load/load_coordinator.cpp
@@ -46,7 +46,7 @@
         for (std::size_t i = 0; i < priority_count; ++i) {
             to.openings[i] +=
                 static_cast<float>(one.priorities[i].openings) / interval;
-            to.requests +=
+            to.requests[i] +=
                 static_cast<float>(one.priorities[i].requests) / interval;
         }
         to.in_flight += static_cast<float>(one.in_flight);
--- a/src/libdogwoodtrack/carried/load/load_coordinator.hpp
+++ b/src/libdogwoodtrack/carried/load/load_coordinator.hpp
@@ -43,8 +43,8 @@
 struct summed_service {
     /// New flows per millisecond by priority, admitted or not.
     std::array<float, priority_count> openings{};
-    /// Requests on established flows per millisecond.
-    float requests = 0;
+    /// Requests on established flows per millisecond, by priority.
+    std::array<float, priority_count> requests{};
     float in_flight = 0; ///< at upstreams of all failure domains
 };
 
--- a/src/libdogwoodtrack/carried/load/load_exchange.cpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange.cpp
@@ -9,6 +9,9 @@
 /// A balancer that is not elected sends the load of its domain to the others
 /// only if at least this part of the domain's balancers reports to it.
 constexpr float speaker_part = 0.5F;
+/// A service counts as overloaded for this time after the last plan that said
+/// so. Full upstreams reject requests that have waited there.
+constexpr milliseconds overload_memory{1'000};
 
 // Clock for `domain_loads_message::sent_us`.
 auto clock_us(time_point now) -> std::uint64_t {
@@ -163,6 +166,20 @@
     return addresses;
 }
 
+// Notes which services are overloaded by the plans in use.
+auto update_overloaded(blackboard &board, time_point now) -> void {
+    auto &overloaded = board.steering.upstreams.overloaded_until;
+    for (const auto &known : board.steering.plans.services) {
+        const auto &plan = known.plan;
+        if (plan.limit > 0 &&
+            std::max(plan.in_flight, plan.demand) > plan.limit &&
+            is_coordinated(board.steering.plans, plan.service, now))
+            overloaded[plan.service] = now + overload_memory;
+    }
+    boost::unordered::erase_if(
+        overloaded, [&](const auto &entry) { return now >= entry.second; });
+}
+
 auto send_plan(blackboard &board, time_point now,
                std::vector<outgoing_message> &out) -> void {
     auto &load = board.load;
@@ -175,6 +192,7 @@
     auto plan = make_plan(load.planner);
     if (is_elected(board))
         apply_plan(board.steering.plans, own_address(board), plan, now);
+    update_overloaded(board, now);
     select_upstreams(load.planner, plan, now);
     const auto messages = split_plan(plan);
     for (const auto to : plan_receivers(board)) {
@@ -345,6 +363,7 @@
         ++load.counters.ignored;
         return;
     }
+    update_overloaded(board, now);
     const auto binds =
         std::any_of(plan.services.begin(), plan.services.end(),
                     [](const auto &one) { return is_binding(one); });
--- a/src/libdogwoodtrack/carried/load/load_plan_state.cpp
+++ b/src/libdogwoodtrack/carried/load/load_plan_state.cpp
@@ -136,7 +136,7 @@
     for (std::size_t i = 0; i < priority_count; ++i) {
         const auto &one = load.priorities[i];
         wanted.demand[i] = static_cast<float>(one.openings) * factor;
-        wanted.established += static_cast<float>(one.requests) * factor;
+        wanted.established[i] = static_cast<float>(one.requests) * factor;
     }
     return allocate_admission(wanted);
 }
--- a/src/libdogwoodtrack/carried/load/load_planning.cpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -68,14 +68,25 @@
     return services;
 }
 
-auto sum_upstreams(const summed_load &sum, const planning_input &input)
+auto is_usable(const load_planner &it, const upstream &one, time_point now)
+    -> bool {
+    if (one.death != upstream_death::none || is_ejected(one, now))
+        return false;
+    const auto silent = it.silent.find(one.code);
+    return silent == it.silent.end() ||
+           silent->second.openings < silent_openings;
+}
+
+auto sum_upstreams(const load_planner &it, const summed_load &sum,
+                   const planning_input &input, time_point now)
     -> service_sums {
     service_sums sums;
     for (const auto &[code, load] : sum.upstreams) {
         const auto index = index_by_code(input.upstreams, code);
         if (index == no_upstream)
             continue;
-        const auto &record = input.upstreams.all[index].record;
+        const auto &upstream = input.upstreams.all[index];
+        const auto &record = upstream.record;
         auto &to = sums[record.service];
         to.upstreams.push_back(load);
         const auto answers = static_cast<float>(load.answers);
@@ -84,7 +95,9 @@
             to.other_answers_ms += load.service_ms * answers;
             continue;
         }
-        to.own.in_flight += static_cast<float>(load.in_flight);
+        // Requests that hang at a silent upstream take no room of the others.
+        if (is_usable(it, upstream, now))
+            to.own.in_flight += static_cast<float>(load.in_flight);
         to.own.answers += load.answers;
         to.own.rejections += load.rejections;
         to.own_answers_ms += load.service_ms * answers;
@@ -107,15 +120,6 @@
     });
 }
 
-auto is_usable(const load_planner &it, const upstream &one, time_point now)
-    -> bool {
-    if (one.death != upstream_death::none || is_ejected(one, now))
-        return false;
-    const auto silent = it.silent.find(one.code);
-    return silent == it.silent.end() ||
-           silent->second.openings < silent_openings;
-}
-
 // Slots of the own domain's upstreams that new flows can be placed on.
 auto count_slots(const load_planner &it, service_key service,
                  const planning_input &input, time_point now) -> float {
@@ -142,9 +146,10 @@
 auto learn_rates(coordinated_service &it, const summed_service &rates,
                  milliseconds interval) -> void {
     const auto weight = interval >= max_smoothing_gap ? 1 : rate_weight;
-    for (std::size_t i = 0; i < priority_count; ++i)
+    for (std::size_t i = 0; i < priority_count; ++i) {
         it.openings[i] = mix(it.openings[i], rates.openings[i], weight);
-    it.requests = mix(it.requests, rates.requests, weight);
+        it.requests[i] = mix(it.requests[i], rates.requests[i], weight);
+    }
 }
 
 // The answers of other domains count while there are none of the own one, for
@@ -242,10 +247,11 @@
         return {1, 1, 1, 1};
     const auto limit = has_upstreams ? it.limit.limit : free_elsewhere(targets);
     allocation_input wanted{.limit = limit * input.limit_part,
-                            .established = it.requests * baseline_ms(it),
                             .min_share = input.min_share};
-    for (std::size_t i = 0; i < priority_count; ++i)
+    for (std::size_t i = 0; i < priority_count; ++i) {
+        wanted.established[i] = it.requests[i] * baseline_ms(it);
         wanted.demand[i] = it.openings[i] * baseline_ms(it);
+    }
     float share = 0;
     for (const auto &one : it.plan.spill)
         share += one.share;
@@ -273,6 +279,7 @@
         sample.answers > 0
             ? sums.own_answers_ms / static_cast<float>(sample.answers)
             : 0;
+    sample.established = sum_of(it.requests) * baseline_ms(it);
     sample.target_latency = routes.target_latency;
     sample.interval = interval;
     const auto limit = update_limit(it.limit, sample, now);
@@ -280,7 +287,8 @@
                .failure_domain = input.failure_domain,
                .limit = sample.slots > 0 ? limit : 0,
                .in_flight = sample.in_flight,
-               .demand = (sum_of(it.openings) + it.requests) * baseline_ms(it),
+               .demand = (sum_of(it.openings) + sum_of(it.requests)) *
+                         baseline_ms(it),
                .service_ms = it.service_ms};
     const auto targets = spill_targets(service, input, now);
     it.plan.service = service;
@@ -315,7 +323,7 @@
         return !services.contains(entry.first);
     });
     update_silence(it, sum, now);
-    auto sums = sum_upstreams(sum, input);
+    auto sums = sum_upstreams(it, sum, input, now);
     for (const auto &[service, routes] : services)
         plan_service(it, service, routes, sum, sums[service], input, now);
     it.last_planned = now;
--- a/src/libdogwoodtrack/carried/load/load_planning.hpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.hpp
@@ -16,7 +16,7 @@
     speed_table speeds;
     /// Smoothed rates, as in `summed_service`.
     std::array<float, priority_count> openings{};
-    float requests = 0;
+    std::array<float, priority_count> requests{};
     float service_ms = 0; ///< smoothed mean of the answers
     domain_load load;     ///< of the own domain
     service_plan plan;    ///< with all upstreams
--- a/src/libdogwoodtrack/carried/upstreams/outlier_ejection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/outlier_ejection.cpp
@@ -107,6 +107,9 @@
 
 auto record_outcome(upstream_table &table, upstream_index index,
                     request_outcome outcome, time_point now) -> void {
+    if (outcome == request_outcome::error &&
+        is_overloaded(table, table.all[index].record.service, now))
+        return;
     auto &unreported = table.all[index].stats.unreported;
     if (outcome == request_outcome::answered) {
         ++unreported.answers;
--- a/src/libdogwoodtrack/carried/upstreams/outlier_ejection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/outlier_ejection.hpp
@@ -42,6 +42,8 @@
 
 /// Records the outcome of a request on a flow of this instance: applies it as
 /// `apply_outcomes` does and counts it for the report to the outlier detector.
+/// An error of an overloaded service is ignored (see `is_overloaded`), since
+/// ejecting upstreams that are full would overload the others further.
 auto record_outcome(upstream_table &table, upstream_index index,
                     request_outcome outcome, time_point now) -> void;
 
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
@@ -59,10 +59,7 @@
             weight /= cold_load_factor;
         auto &line = domain_of(index, it.record.failure_domain).upstreams;
         const auto end = (line.empty() ? 0 : line.back().end) + weight;
-        line.push_back({.index = i,
-                        .end = end,
-                        .weight = weight,
-                        .limit = it.planned_limit});
+        line.push_back({.index = i, .end = end, .weight = weight});
         if (is_on_probation(it, now))
             index.on_probation.push_back(i);
     }
@@ -246,9 +243,9 @@
         if (one.stats.open == 0 && !is_on_probation(one, now))
             return it->index;
         best.offer(it->index, planned_load(one, it->weight),
-                   it->limit > 0 && one.stats.open >= it->limit);
+                   is_at_planned_limit(one));
     }
-    return best.index;
+    return best.at_limit || best.load > 1 ? no_upstream : best.index;
 }
 
 auto choose_in_domain(upstream_table &table, const selection_index &index,
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.hpp
@@ -11,12 +11,13 @@
 /// failure domain the flows are spread in proportion to slots x speed: a few
 /// candidates are examined, beginning in the part of the domain's capacity that
 /// belongs to this balancer's rank, and the first one without a flow of this
-/// balancer is taken, or else the one with the lowest load. An upstream at its
-/// limit is taken only if all examined ones are. Upstreams that the plan does
-/// not list count with speed 1 and no limit. An upstream on probation whose
-/// trial flow is due is preferred, as in `choose_upstream`. Returns
-/// `no_upstream` if no candidate was found; this does not mean that there is
-/// none. Not thread safe.
+/// balancer is taken, or else the one with the lowest load. Upstreams that the
+/// plan does not list count with speed 1 and no limit. An upstream on probation
+/// whose trial flow is due is preferred, as in `choose_upstream`. Returns
+/// `no_upstream` if no candidate was found, which does not mean that there is
+/// none, or if this balancer's own flows fill the slots or reach the limits of
+/// all examined ones: the plan is older than these flows, so the upstreams of
+/// all failure domains are to be compared. Not thread safe.
 auto choose_planned_upstream(upstream_table &table, const new_flow &wanted,
                              const service_plan &plan,
                              const domain_position &position, time_point now)
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
@@ -232,10 +232,33 @@
     }
 }
 
-TEST_CASE("without shares all flows stay in the own domain, beyond its slots") {
+// Guards against bytes between failure domains that nobody needs.
+TEST_CASE("without shares all flows stay in the own domain while it has slots "
+          "free") {
     auto it = make_balancer(5);
-    for (int n = 0; n < 40; ++n)
+    const auto slots = it.table.all[0].record.slots;
+    for (int n = 0; n < 5 * slots; ++n)
         CHECK(it.table.all[it.place()].record.failure_domain == 1);
+    for (const auto &one : it.table.all) {
+        if (one.record.failure_domain == 1)
+            CHECK(one.stats.open == slots);
+    }
+}
+
+// Guards against flows that wait in their own domain until the next plan,
+// although upstreams of the others are idle.
+TEST_CASE("a crowd between two plans: flows beyond the own domain's slots are "
+          "shared with the others") {
+    auto it = make_balancer(5);
+    const auto slots = it.table.all[0].record.slots;
+    for (int n = 0; n < 5 * slots; ++n)
+        it.place();
+    std::array<int, 4> counts{};
+    for (int n = 0; n < 10 * slots; ++n)
+        ++counts[it.table.all[it.place()].record.failure_domain];
+    CHECK(counts[2] > 0);
+    CHECK(counts[3] > 0);
+    CHECK(counts[1] > 0);
 }
 
 TEST_CASE("each balancer keeps the spill shares, also with few flows, and all "
@@ -285,13 +308,17 @@
     auto &first = it.table.all[0];
     first.placeable = false;
     it.table.all[1].record.failure_domain = 2;
-    for (int n = 0; n < 20; ++n)
+    for (int n = 0; n < 20; ++n) {
         CHECK(it.place() == 2);
+        --it.table.all[2].stats.open;
+    }
     CHECK(it.place(2) != 2);
 }
 
 TEST_CASE("an upstream at its limit is skipped while others are not") {
-    auto it = make_balancer(3);
+    placing_balancer it;
+    add_upstreams(it.table, 3, 1);
+    it.plan = make_plan(it.table);
     it.plan.upstreams[0].limit = 1;
     it.plan.upstreams[1].limit = 2;
     for (int n = 0; n < 7; ++n)
@@ -326,6 +353,23 @@
     CHECK(chosen != 4);
 }
 
+// Guards against upstreams that are ejected because they are full, until hardly
+// any is left for a crowd.
+TEST_CASE("rejections of an overloaded service eject nothing, timeouts do") {
+    auto it = make_balancer(10);
+    it.table.overloaded_until[bookings] = start + seconds{1};
+    for (int n = 0; n < 10; ++n)
+        record_outcome(it.table, 4, request_outcome::error, start);
+    CHECK_FALSE(is_ejected(it.table.all[4], start));
+    for (int n = 0; n < 3; ++n)
+        record_outcome(it.table, 5, request_outcome::timed_out, start);
+    CHECK(is_ejected(it.table.all[5], start));
+    const auto later = start + seconds{1};
+    for (int n = 0; n < 3; ++n)
+        record_outcome(it.table, 4, request_outcome::error, later);
+    CHECK(is_ejected(it.table.all[4], later));
+}
+
 TEST_CASE("a slow upstream gets little as soon as a plan says so") {
     auto it = make_balancer(12);
     it.count_by_domain(10);
--- a/src/libdogwoodtrack/carried/upstreams/selection_index.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/selection_index.hpp
@@ -15,7 +15,6 @@
     std::uint32_t index = 0; ///< `upstream_index`
     float end = 0;           ///< sum of slots x speed up to this upstream
     float weight = 0;        ///< slots x speed
-    std::uint16_t limit = 0; ///< see `upstream_plan::limit`; 0 if none
 };
 
 /// Upstreams of one service in one failure domain.
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -78,11 +78,10 @@
 
 // Load of the upstream, relative to its speed, with the new flow included.
 auto load_after_placing(const upstream &it, const domain_position &position,
-                        float mean_ms, time_point now) -> float {
+                        float speed, time_point now) -> float {
     const auto slots =
         static_cast<float>(std::max<unsigned>(1, it.record.slots));
-    auto load =
-        (static_cast<float>(it.stats.open) + 1) / slots / speed_of(it, mean_ms);
+    auto load = (static_cast<float>(it.stats.open) + 1) / slots / speed;
     if (now < it.warm_at)
         load *= cold_load_factor;
     if (it.record.failure_domain != position.failure_domain)
@@ -137,7 +136,8 @@
     if (found == table.placeable.end() || found->second.empty())
         return no_upstream;
     const auto &list = found->second;
-    const auto mean_ms = mean_service_time(table, list);
+    const auto mean_ms =
+        wanted.plan == nullptr ? mean_service_time(table, list) : 0;
     const auto start = list.size() * position.rank /
                        std::max<std::uint32_t>(1, position.count);
     best_candidate best;
@@ -151,8 +151,13 @@
             !may_get_flow(table, index, wanted, position.failure_domain, now,
                           reasons))
             continue;
-        const auto load = load_after_placing(it, position, mean_ms, now);
-        if (!is_candidate(it, index, wanted, now))
+        const auto speed =
+            wanted.plan == nullptr
+                ? speed_of(it, mean_ms)
+                : std::clamp(it.planned_speed, min_speed, max_speed);
+        const auto load = load_after_placing(it, position, speed, now);
+        const auto at_limit = wanted.plan != nullptr && is_at_planned_limit(it);
+        if (at_limit || !is_candidate(it, index, wanted, now))
             fallback.offer(index, load);
         else if (is_on_probation(it, now))
             best.offer(index, load * trial_load_factor);
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -29,9 +29,10 @@
 
 /// Chooses an upstream for a new flow: the one with the lowest load relative to
 /// its speed. With a load plan, `choose_planned_upstream` chooses, and the
-/// rules below apply only if it finds no candidate. The load of upstreams in
-/// other failure domains counts as higher than it is, so that the own domain is
-/// preferred. An upstream that left openings unanswered, is ejected (see
+/// rules below apply only if it finds no candidate; then the plan's speeds and
+/// limits replace those that this balancer has observed. The load of upstreams
+/// in other failure domains counts as higher than it is, so that the own domain
+/// is preferred. An upstream that left openings unanswered, is ejected (see
 /// `is_ejected`) or is on probation (see `is_on_probation`) is avoided: unless
 /// it is ejected, it now and then gets a single flow as a trial of whether it
 /// answers again. On probation it gets trial flows only from the balancer that
@@ -50,6 +51,12 @@
 auto is_candidate(const upstream &it, upstream_index index,
                   const new_flow &wanted, time_point now) -> bool;
 
+/// Whether this balancer's flows alone reach the limit that the load plan sets
+/// for the upstream.
+inline auto is_at_planned_limit(const upstream &it) -> bool {
+    return it.planned_limit > 0 && it.stats.open >= it.planned_limit;
+}
+
 /// Load factor of an upstream that has just started and is therefore slower.
 inline constexpr float cold_load_factor = 1.6F;
 
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.cpp
@@ -319,6 +319,12 @@
     return found != table.withheld.end() && found->second > 0;
 }
 
+auto is_overloaded(const upstream_table &table, service_key service,
+                   time_point now) -> bool {
+    const auto found = table.overloaded_until.find(service);
+    return found != table.overloaded_until.end() && now < found->second;
+}
+
 auto has_successor(const upstream_table &table, upstream_index index,
                    const configuration &in_force) -> bool {
     const auto &it = table.all[index];
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -159,6 +159,9 @@
     /// Number of upstreams of each service with `upstream::withheld`.
     boost::unordered_flat_map<service_key, std::uint32_t> withheld;
     cold_quota cold; ///< limits of cold upstreams
+    /// Until when the upstreams of a service are expected to reject requests
+    /// because they are full, see `is_overloaded`.
+    boost::unordered_flat_map<service_key, time_point> overloaded_until;
     /// Used by `choose_planned_upstream`.
     boost::unordered_flat_map<service_key, selection_index> selection;
 };
@@ -212,6 +215,11 @@
 auto has_withheld_upstreams(const upstream_table &table, service_key service)
     -> bool;
 
+/// Whether the service's load exceeds the limit of its upstreams by the latest
+/// load plans. Their rejections then say nothing about single upstreams.
+auto is_overloaded(const upstream_table &table, service_key service,
+                   time_point now) -> bool;
+
 /// Whether an upstream of a service that `in_force` names has the place of
 /// `table.all[index]`: a later incarnation has its identifier, or an upstream
 /// that started later has its address. This alone does not prove that the
