--- a/src/dogwoodtrackd-carried/settings_test.cpp
+++ b/src/dogwoodtrackd-carried/settings_test.cpp
@@ -86,6 +86,8 @@
     CHECK(it.stop_deadline == milliseconds{5'300});
 }
 
+// Guards against limits that apply on a platform that does not ask for them,
+// and against settings that are not read.
 TEST_CASE("limits of cold upstreams are off if their settings are empty") {
     const auto off = read(required_settings + R"(cold-overage =
 cold-slack =
@@ -100,6 +102,8 @@
     CHECK(on.value().balancer.cold.slack == 5);
 }
 
+// Guards against a daemon that exchanges load although its operator did not
+// enable it.
 TEST_CASE("the load exchange is off unless it is set") {
     const auto settings = read(required_settings + "load-plans =\n");
     REQUIRE(settings);
--- a/src/libdogwoodtrack/carried/admission/admission_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/admission_test.cpp
@@ -93,6 +93,8 @@
     }
 }
 
+// Guards against runs of admissions or refusals, as a random choice gives at
+// few openings.
 TEST_CASE("a fraction is admitted evenly spaced") {
     crowd it{.admission = {}, .plans = make_plans(0.25F)};
     for (std::uint32_t i = 0; i < 40; ++i) {
--- a/src/libdogwoodtrack/carried/admission/allocation_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/allocation_test.cpp
@@ -75,6 +75,8 @@
     CHECK(allocate_admission(input)[1] == doctest::Approx(0.1));
 }
 
+// Guards against flows that are refused because a quantity is unknown or
+// malformed.
 TEST_CASE("an unknown limit, room for all, and malformed quantities admit "
           "all") {
     for (const auto &input :
--- a/src/libdogwoodtrack/carried/admission/opening_queue_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/opening_queue_test.cpp
@@ -40,6 +40,8 @@
 
 } // namespace
 
+// Guards against an opening that still waits when its caller sends it again, or
+// when too little of the target latency is left.
 TEST_CASE("the time in the queue is bounded by the target latency and by the "
           "callers' retransmission") {
     CHECK(queue_time(milliseconds{500}) == milliseconds{125});
@@ -103,6 +105,8 @@
     CHECK(queue.all.size() == 4);
 }
 
+// Guards against urgent openings that are rejected because less urgent ones
+// came first.
 TEST_CASE("a full queue displaces the least urgent opening") {
     opening_queue queue{.limit = 2};
     queue_opening(queue, make_opening(1, 2, milliseconds{0}), plenty, start);
--- a/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuations_test.cpp
@@ -128,6 +128,8 @@
 
 } // namespace
 
+// Guards against a way to place flows that does not respect evacuations, and
+// against open flows that an evacuation breaks.
 TEST_CASE("upstreams of an evacuated domain get no openings, copies, second "
           "openings or trial flows; open flows continue") {
     auto it = make_balancer(1);
@@ -155,6 +157,8 @@
     CHECK(later.to == open.to);
 }
 
+// Guards against callers that wait in vain while no domain may serve them, and
+// against upstreams whose state is wrong after changes during an evacuation.
 TEST_CASE("several domains are evacuated; if all are, openings are rejected at "
           "once, and resume as soon as one is withdrawn") {
     auto it = make_balancer(1);
@@ -177,6 +181,8 @@
     CHECK(it.steering.upstreams.withheld[bookings] == 1);
 }
 
+// Guards against a reason for refusals that makes the operator withdraw an
+// evacuation in vain.
 TEST_CASE("a service without upstreams is not said to be evacuated") {
     auto it = make_blackboard(1);
     set_evacuate_within(it, bound);
@@ -186,6 +192,8 @@
     CHECK(place(it, 1) == "reject no_upstream");
 }
 
+// Guards against flows that a new balancer places on an evacuated domain before
+// it knows of the evacuation.
 TEST_CASE("a balancer that starts during an evacuation, turned away by the "
           "store, learns the set from a peer before it places a flow") {
     three_balancers fleet;
@@ -200,6 +208,8 @@
     CHECK(place(fresh, 1) == "i-west");
 }
 
+// Guards against an acknowledged evacuation that is lost because only one
+// balancer has read it when the store fails.
 TEST_CASE("an evacuation reaches a balancer that is cut off from the watcher "
           "although the store fails right after its acknowledgement") {
     three_balancers fleet;
@@ -215,6 +225,8 @@
     CHECK(version_of(fleet.c, feed::evacuations).content.number == 11);
 }
 
+// Guards against flows on a domain whose evacuation is acknowledged but missing
+// from a stale list, which no peer can correct.
 TEST_CASE("after a restart of all balancers the list of evacuations is never "
           "a stale one") {
     auto it = make_blackboard(1);
@@ -226,6 +238,8 @@
     CHECK(next_store_call(it, feed::upstreams, start)->may_be_stale);
 }
 
+// Guards against an evacuation that ends, or comes back, because messages
+// arrive out of order.
 TEST_CASE("the set never goes back: late answers and old sets of peers change "
           "nothing") {
     three_balancers fleet;
@@ -281,6 +295,7 @@
     CHECK(version_of(restarted, feed::evacuations).as_of.number == 20);
 }
 
+// Guards against domains that get flows because a part of the set is lost.
 TEST_CASE("a set that exceeds a datagram is put in force only as a whole") {
     three_balancers fleet;
     std::vector<evacuation_entry> many;
@@ -300,6 +315,8 @@
     }
 }
 
+// Guards against an entry with a typing error that is dropped, or that fills
+// the log.
 TEST_CASE("a domain without upstreams and balancers is kept and reported "
           "once") {
     auto it = make_balancer(1);
@@ -312,6 +329,8 @@
     CHECK(evacuated_names(it) == names{"east", "mars", "west"});
 }
 
+// Guards against a balancer that waits for a feed that nobody reads, and
+// against digests that grow without use.
 TEST_CASE("with the feature off the feed is not read, sent or required") {
     three_balancers fleet;
     apply(fleet.a, changes_of({entry_of("east", 11)}, 11));
--- a/src/libdogwoodtrack/carried/feeds/restored_store_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/restored_store_test.cpp
@@ -143,6 +143,8 @@
     }
 }
 
+// Guards against flows on upstreams that have left, and against upstreams that
+// stay out of service although they have written their entries again.
 TEST_CASE("the whole fleet keeps the states of before the restore, and has "
           "what is written anew") {
     small_fleet it;
@@ -184,6 +186,8 @@
         CHECK(state_of(one, "i-2") == upstream_state::draining);
 }
 
+// Guards against an answer from before the restore that undoes what the
+// restored store says.
 TEST_CASE("a late answer of an earlier era changes nothing") {
     small_fleet it;
     auto &a = it.all[0];
@@ -196,6 +200,8 @@
     CHECK(a.store_era.era == 1);
 }
 
+// Guards against routes that go back to an older configuration, and against
+// balancers that never agree on the version of the feed.
 TEST_CASE("a configuration of the copy is not put in force at any balancer, "
           "and no balancer pulls it again and again") {
     small_fleet it;
@@ -214,6 +220,8 @@
         CHECK(one.steering.in_force->revision == make_revision(61, 1));
 }
 
+// Guards against flows on upstreams whose entries are lost for good, and
+// against upstreams that are gone before they could write again.
 TEST_CASE("entries missing from the copy lapse and are then gone, at balancers "
           "that learn it from peers, too") {
     small_fleet it;
@@ -246,6 +254,8 @@
     CHECK(a.store_era.era == 0);
 }
 
+// Guards against a damaged or forged message after which the store's own
+// answers count as old.
 TEST_CASE("messages with an implausible era are ignored") {
     small_fleet it;
     auto &a = it.all[0];
@@ -288,6 +298,7 @@
     CHECK(it.next_call(a, feed::upstreams).since == make_revision(91));
 }
 
+// Guards against a store that is ignored because a proxy damages its header.
 TEST_CASE("an answer with an unreadable era is applied in the era in force") {
     small_fleet it;
     auto &a = it.all[0];
--- a/src/libdogwoodtrack/carried/feeds/store_era_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_era_test.cpp
@@ -23,6 +23,8 @@
 
 } // namespace
 
+// Guards against a balancer that ignores a store that was restored while the
+// balancer was cut off.
 TEST_CASE("the first era and a plausible step up are adopted at once") {
     auto it = in_era(7);
     CHECK(it.era == 7);
@@ -30,6 +32,8 @@
     CHECK(observe_store_era(it, 8) == era_verdict::current);
 }
 
+// Guards against a single damaged number that makes all later answers of the
+// store count as old.
 TEST_CASE("one damaged answer with an implausible era changes nothing, a "
           "second one in a row adopts it") {
     auto it = in_era(1);
@@ -41,6 +45,7 @@
     CHECK(observe_store_era(it, 2'000'000) == era_verdict::adopted);
 }
 
+// Guards against an era that goes back because answers arrive out of order.
 TEST_CASE("late answers of an earlier era change nothing") {
     auto it = in_era(2);
     for (int i = 0; i < 2; ++i)
@@ -50,6 +55,7 @@
     CHECK(it.era == 2);
 }
 
+// Guards against a false era that makes the fleet ignore the store for ever.
 TEST_CASE("a forged era does not last: a store that keeps answering with a "
           "lower one is believed, and peers do not bring the forged one back") {
     auto it = in_era(1);
@@ -69,6 +75,8 @@
     CHECK(is_believable(it, 9));
 }
 
+// Guards against a false era that spreads by gossip, and against a new balancer
+// that cannot take part.
 TEST_CASE("peers cannot pass on an implausible era, but a balancer that knows "
           "none takes theirs") {
     auto it = in_era(1);
--- a/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
+++ b/src/libdogwoodtrack/carried/load/load_exchange_test.cpp
@@ -146,6 +146,8 @@
 
 } // namespace
 
+// Guards against balancers that elect different coordinators, and against
+// reports that are missing from the sum or counted twice.
 TEST_CASE("all balancers of a domain follow a plan with the sum of their "
           "demands") {
     running_domain it;
@@ -303,6 +305,8 @@
     CHECK(it.demand(5) == doctest::Approx(5 * demand_of_one).epsilon(0.1));
 }
 
+// Guards against a balancer that gets no plan because it has nobody to report
+// to.
 TEST_CASE("a balancer alone follows its own plan and sends nothing") {
     network it;
     it.add(1);
@@ -380,6 +384,8 @@
     CHECK(other.loads.size() == 1);
 }
 
+// Guards against a load that goes back or is kept alive by copies of a message,
+// and against a wrong round trip.
 TEST_CASE("late and doubled loads of another domain change nothing") {
     domain_exchange it;
     const fleet_member sender{.address = 7, .failure_domain = 2};
--- a/src/libdogwoodtrack/carried/load/spill_test.cpp
+++ b/src/libdogwoodtrack/carried/load/spill_test.cpp
@@ -86,6 +86,7 @@
 
 } // namespace
 
+// Guards against paying for traffic between domains without need.
 TEST_CASE("calm domains spill nothing, also when one is busier than another") {
     region it(90, 20, 99);
     it.run(40);
@@ -93,6 +94,8 @@
         CHECK(one.empty());
 }
 
+// Guards against callers that are refused while other domains have room, and
+// against more traffic between domains than needed.
 TEST_CASE("a domain short of upstreams spills just what it lacks, within two "
           "seconds") {
     region it(130, 50, 50);
@@ -103,6 +106,8 @@
     CHECK(it.share(1, 2) == doctest::Approx(it.share(1, 3)));
 }
 
+// Guards against free capacity elsewhere that stays unused during a large
+// shortage.
 TEST_CASE("half of the upstreams silent: all of the free capacity is used") {
     region it(140, 50, 50);
     it.loads[0].limit = 50;
@@ -111,6 +116,8 @@
     CHECK(it.placed(2) == doctest::Approx(95).epsilon(0.01));
 }
 
+// Guards against neighbours that are overloaded because several domains take
+// the same room at once.
 TEST_CASE("two domains that spill into the third at once do not push it over "
           "its limit") {
     for (const std::size_t delay : {0, 1, 2, 3}) {
@@ -127,6 +134,8 @@
     }
 }
 
+// Guards against callers of a domain that are refused in favour of those of
+// other domains.
 TEST_CASE("the neighbour's own demand goes first") {
     region it(150, 150, 40);
     it.run(20);
@@ -137,6 +146,8 @@
     CHECK(it.shares[0].empty());
 }
 
+// Guards against load that moves back and forth between domains, as decisions
+// are made on old loads.
 TEST_CASE("shares do not oscillate over 60 intervals with delayed loads") {
     for (const std::size_t delay : {1, 3}) {
         region it(150, 120, 30);
@@ -156,6 +167,8 @@
     }
 }
 
+// Guards against a crowd that is moved to another domain at once, before that
+// domain has told its load, and against a share that never ends.
 TEST_CASE("a share moves by bounded steps when a crowd comes and goes") {
     region it(50, 50, 50);
     it.run(4);
@@ -169,6 +182,7 @@
     CHECK(before == 0);
 }
 
+// Guards against flows that are sent where they cannot or must not go.
 TEST_CASE("a cut-off or evacuated domain gets nothing, and the others as much "
           "as they can take") {
     for (const auto evacuated : {false, true}) {
@@ -184,6 +198,7 @@
     }
 }
 
+// Guards against flows to a domain of which nothing has been heard.
 TEST_CASE("a load of another domain that is older than 2 s ends its share") {
     region it(150, 50, 50);
     it.run(20);
@@ -195,6 +210,8 @@
     CHECK(usable_capacity(input, input.others[1]) > 0);
 }
 
+// Guards against traffic that costs more than the waiting that it saves, and
+// against a price that leaves large shortages at home.
 TEST_CASE("a high price keeps small shortages at home, not large ones") {
     for (const auto &[demand, leaves] :
          {std::pair{105.F, false}, std::pair{150.F, true}}) {
@@ -208,6 +225,8 @@
     }
 }
 
+// Guards against callers that are refused because a price was set, although
+// their domain cannot serve them at all.
 TEST_CASE("a domain without upstreams leaves, whatever the price") {
     region it(40, 50, 50);
     it.loads[0].limit = 0;
@@ -216,6 +235,7 @@
     CHECK(it.placed(1) == doctest::Approx(0).epsilon(0.01));
 }
 
+// Guards against a malformed load that makes all shares invalid.
 TEST_CASE("loads without sense give no shares that are not numbers") {
     region it(150, 50, 50);
     const auto nan = std::nanf("");
@@ -226,6 +246,8 @@
         CHECK(one.share >= 0);
 }
 
+// Guards against a gauge that shows the share of a single service for that of
+// all flows.
 TEST_CASE("the gauge shows the mean share over the services") {
     const service_plan a{.spill = {{2, 0.5F}, {3, 0.1F}}, .demand = 30};
     const service_plan b{.spill = {{2, 0.1F}}, .demand = 10};
@@ -250,6 +272,8 @@
     CHECK(log(0) == 0);
 }
 
+// Guards against a price that is applied to the sizes of other services'
+// answers.
 TEST_CASE("the mean size is that of the answers on the service's routes") {
     configuration in_force;
     flow_table flows;
--- a/src/libdogwoodtrack/carried/quota/cold_quota_test.cpp
+++ b/src/libdogwoodtrack/carried/quota/cold_quota_test.cpp
@@ -145,6 +145,7 @@
           verdict_kind::forward);
 }
 
+// Guards against domains that each use the whole quota of one upstream.
 TEST_CASE("a cold upstream of another failure domain gets no flows until it is "
           "warm") {
     auto it = make_balancer(1, 1, {make_cold_record("i-1", 2)});
@@ -156,6 +157,7 @@
           verdict_kind::forward);
 }
 
+// Guards against cold upstreams that are spared although no limit is set.
 TEST_CASE("without a limit in the configuration or without the settings cold "
           "upstreams are chosen as before") {
     for (const auto has_settings : {true, false}) {
@@ -194,6 +196,9 @@
         CHECK(count_cold_requests(one.cold, now + seconds{2}) == 0);
 }
 
+// Guards against balancers without access to the store that apply no limit, and
+// against upstreams that stay cold longer the more often their records are
+// passed on.
 TEST_CASE("limits of cold upstreams and the remaining warm-up time reach other "
           "balancers") {
     auto sender = make_balancer(1, 2, {make_cold_record("i-1")});
--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -52,6 +52,7 @@
     CHECK(contains("dogwoodtrack_load_limit{service="));
 }
 
+// Guards against gauges that show the shares of a plan that has expired.
 TEST_CASE("the metrics show spill shares and slow upstreams while a plan is in "
           "use") {
     auto it = make_blackboard(1);
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection_test.cpp
@@ -209,6 +209,8 @@
 
 } // namespace
 
+// Guards against an index that saves time in the choice at the cost of the
+// requests.
 TEST_CASE("sampling makes requests wait at most 2% longer than the walk, at "
           "120 and 5,000 upstreams") {
     for (const auto load : {0.6, 0.8, 0.95})
@@ -216,6 +218,8 @@
     compare(5'000, 436, 0.8, 150'000);
 }
 
+// Guards against slow upstreams that are overloaded, and against fast ones that
+// get more than their part, with few balancers as with many.
 TEST_CASE("speeds 0.6, 1.0 and 1.6 get work in proportion") {
     for (const std::size_t balancers : {1, 7, 66}) {
         for (const auto load : {0.3, 0.7, 0.95}) {
@@ -261,6 +265,8 @@
     CHECK(counts[1] > 0);
 }
 
+// Guards against shares that are kept on average only, and against balancers
+// that all begin with the same domain.
 TEST_CASE("each balancer keeps the spill shares, also with few flows, and all "
           "balancers together do") {
     std::array<int, 4> all{};
@@ -301,6 +307,7 @@
     }
 }
 
+// Guards against flows to upstreams that have left since the index was built.
 TEST_CASE("a removed upstream, an element used for another one and the "
           "excluded one get nothing, without waiting for a new index") {
     auto it = make_balancer(3);
@@ -315,6 +322,8 @@
     CHECK(it.place(2) != 2);
 }
 
+// Guards against flows that wait at a full upstream while others have free
+// slots.
 TEST_CASE("an upstream at its limit is skipped while others are not") {
     placing_balancer it;
     add_upstreams(it.table, 3, 1);
@@ -329,6 +338,8 @@
     CHECK(it.place() != no_upstream);
 }
 
+// Guards against failing upstreams that the index offers, and against ones that
+// are never tried again.
 TEST_CASE("an ejected upstream gets no flow, and then single trials that are "
           "idempotent") {
     auto it = make_balancer(10);
@@ -370,6 +381,7 @@
     CHECK(is_ejected(it.table.all[4], later));
 }
 
+// Guards against an index that is kept although the speeds have changed.
 TEST_CASE("a slow upstream gets little as soon as a plan says so") {
     auto it = make_balancer(12);
     it.count_by_domain(10);
@@ -385,6 +397,8 @@
     CHECK(slow < 30);
 }
 
+// Guards against a malformed plan that stops the placement of flows or directs
+// them to no upstream.
 TEST_CASE("a plan without sense in its speeds is survived") {
     auto it = make_balancer(3);
     it.plan.upstreams[0].speed = 0;
--- a/src/libdogwoodtrack/carried/upstreams/restored_records_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/restored_records_test.cpp
@@ -34,6 +34,8 @@
 
 } // namespace
 
+// Guards against flows on upstreams that have left, because the copy shows them
+// as they were before.
 TEST_CASE("the return of the store does not take an upstream from draining or "
           "gone back to ready") {
     CHECK(state_after(make_state(draining, 90, 0), make_state(ready, 50, 1)) ==
@@ -49,6 +51,8 @@
                       make_state(ready, 80, 2)) == draining);
 }
 
+// Guards against upstreams that stay out of service, or in it, against what
+// they have written since the return.
 TEST_CASE("an entry written anew after the return counts, also against the "
           "same entry that was only listed") {
     CHECK(state_after(make_state(gone, 90, 0),
@@ -61,6 +65,8 @@
                       make_state(draining, 80, 1, true)) == draining);
 }
 
+// Guards against flows that a balancer places on upstreams that have left
+// because it knows only the copy.
 TEST_CASE("a balancer that read the restored store first takes over that an "
           "upstream has left, but nothing that was overwritten since") {
     CHECK(state_after(make_state(ready, 50, 1), make_state(draining, 90, 0)) ==
@@ -105,6 +111,8 @@
     CHECK(state_after(missing, make_state(ready, 61, 1, true)) == ready);
 }
 
+// Guards against packets that are sent to a host's previous run, because the
+// copy still shows it.
 TEST_CASE("an earlier incarnation in the copy does not replace the known one") {
     upstream_table table;
     auto restarted = make_state(ready, 90, 0);
@@ -114,6 +122,7 @@
     CHECK(table.all[table.by_id.at("i-1")].record.born == restarted.born);
 }
 
+// Guards against a warm upstream that gets little work because of an old entry.
 TEST_CASE("an entry from the copy does not make a warm upstream cold again") {
     upstream_table table;
     auto record = make_state(ready, 50, 0);
@@ -124,6 +133,8 @@
     CHECK(table.all[0].warm_at == start + seconds{10});
 }
 
+// Guards against routes that go back, and against an operator whose repeated
+// configuration is ignored.
 TEST_CASE("a configuration of the copy is not put in force, that of the "
           "operator is once it is written again") {
     auto current = *make_configuration(90);
--- a/src/libdogwoodtrack/carried/upstreams/upstream_speeds_test.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_speeds_test.cpp
@@ -75,6 +75,8 @@
 
 } // namespace
 
+// Guards against requests that keep going to slow upstreams, and against a
+// burst at those that have just recovered.
 TEST_CASE("a third of the upstreams six times slower is left within a second "
           "and returns without a thundering herd") {
     measured_service it(120);
@@ -95,6 +97,7 @@
     CHECK(it.third(0) > 0.85 * it.third(1));
 }
 
+// Guards against estimates that noise or the prior of few answers distorts.
 TEST_CASE("speeds 0.6, 1.0 and 1.6 are found, relative to their mean") {
     measured_service it(120);
     it.set_third(0, 30 / 0.6F);
@@ -120,6 +123,7 @@
     CHECK(it.table.changes.size() <= 4);
 }
 
+// Guards against a slow upstream that is judged by its few fast answers alone.
 TEST_CASE("an upstream that holds requests without any answer becomes slow") {
     measured_service it(10);
     it.run(seconds{10});
@@ -135,6 +139,8 @@
     CHECK(it.plan[5].speed > slow_speed);
 }
 
+// Guards against a slow upstream that gets nothing and therefore never shows
+// that it has recovered.
 TEST_CASE("an upstream without requests is tried again after a while") {
     measured_service it(6);
     it.set_third(0, 180);
@@ -145,6 +151,8 @@
     CHECK(compute_speeds(it.table, {}, interval)[0].speed > 0.6);
 }
 
+// Guards against requests that queue at an upstream beyond the target latency,
+// and against upstreams that keep rejecting requests.
 TEST_CASE("limits are slots x speed x room, and shrink while an upstream "
           "rejects requests") {
     measured_service it(6);
@@ -163,6 +171,7 @@
     CHECK(it.plan[1].limit >= 2);
 }
 
+// Guards against a malformed report that makes all speeds of a service invalid.
 TEST_CASE("loads without sense are survived") {
     measured_service it(3);
     std::vector<upstream_load> loads{
