admission: state what comments left out or had wrong

The limit ignores samples with fewer than ten outcomes, not only those without answers, and `overloaded_since` is also the time of the last reduction. Comments only; checked against the code, nothing was built or run.

--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
@@ -41,6 +41,7 @@
 constexpr float reached_fraction = 0.7F;
 /// The room returns quickly to this part of the ceiling and probes from there.
 constexpr float safe_fraction = 0.95F;
+/// Time constant of this return.
 constexpr float recovery_s = 0.5F;
 /// Growth of the room per second beyond the safe part of the ceiling. As in
 /// CUBIC (RFC 9438) it accelerates: after t seconds without overload it is this
@@ -53,6 +54,8 @@
 /// rise may come from queueing, a fall cannot.
 constexpr float baseline_fall_s = 0.5F;
 constexpr float baseline_rise_per_s = 0.05F;
+/// A longer interval, for example after a pause of this process, counts as
+/// this.
 constexpr float max_interval_s = 2;
 
 auto is_quantity(float value) -> bool {
@@ -147,7 +150,8 @@
 auto reduce(adaptive_limit &it, const limit_sample &sample, float cut,
             float reached, time_point now) -> void {
     // The overload occurred at the concurrency reached, which may be far below
-    // a limit that did not bind.
+    // a limit that did not bind. Requests under way are counted at the end of
+    // an interval, and there may have been more of them within it.
     constexpr float snapshot_margin = 1.1F;
     const auto base = std::min(it.room, reached * snapshot_margin);
     const auto lowest = lowest_room(sample);
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
@@ -29,8 +29,8 @@
     float room = 0;      ///< concurrent requests per slot; 0 while unknown
     float ceiling = 0;   ///< `room` at which overload was last seen; 0 if never
     float in_flight = 0; ///< of the previous sample
-    /// Since when there is overload that no reduction has answered yet; 0 if
-    /// there is none.
+    /// When the present overload began, or was last answered by a reduction; 0
+    /// if there is none.
     time_point overloaded_since{};
     /// Since when the limit is reached without overload; 0 if it is not.
     time_point probing_since{};
@@ -42,9 +42,9 @@
 /// latency, shrinks when upstreams reject requests or queueing takes too long,
 /// and grows while the limit is reached without these signs. It does not shrink
 /// below the requests on established flows, at most one and a half for each
-/// slot. An interval without answers changes nothing but the slots. Without
-/// slots the limit is 0. A sample with a negative or non-finite value is
-/// ignored. Not thread safe.
+/// slot. An interval with fewer than ten answers and rejections does not change
+/// the room; the limit still follows the slots. Without slots the limit is 0. A
+/// sample with a negative or non-finite value is ignored. Not thread safe.
 auto update_limit(adaptive_limit &it, const limit_sample &sample,
                   time_point now) -> float;
 
--- a/src/libdogwoodtrack/carried/admission/admission.hpp
+++ b/src/libdogwoodtrack/carried/admission/admission.hpp
@@ -22,6 +22,7 @@
 };
 
 /// Name of an outcome in metrics. Precondition: `outcome` is not `count`.
+/// Thread safe.
 auto to_string(admission_outcome outcome) -> std::string_view;
 
 /// Numbers of openings by outcome and priority.
@@ -92,7 +93,8 @@
 };
 
 /// Part of the new flows of a priority that the plan admits, from 0 to 1; 1
-/// without a plan or if the plan's value is not a number. Thread safe.
+/// without a plan or if the plan's value is not a number. `priority` is an
+/// index, see `priority_index`. Thread safe.
 auto admit_fraction(const service_plan *plan, std::size_t priority) -> float;
 
 /// Whether the plan admits less than all new flows of any priority. Thread
--- a/src/libdogwoodtrack/carried/admission/opening_queue.hpp
+++ b/src/libdogwoodtrack/carried/admission/opening_queue.hpp
@@ -28,7 +28,7 @@
     /// Maximum number of openings, several times those that a balancer admits
     /// within their waiting time.
     std::size_t limit = 64;
-    time_point busy_since{}; ///< when the queue was last empty
+    time_point busy_since{}; ///< since when the queue has not been empty
 };
 
 /// Numbers of openings that may wait, see `queue_opening`.
@@ -50,7 +50,7 @@
 
 /// Waiting time of an opening whose route has this target latency (0: none): at
 /// most a quarter of it, and short enough that the caller does not send the
-/// opening again while it waits.
+/// opening again while it waits. Thread safe.
 auto queue_time(milliseconds target_latency) -> milliseconds;
 
 /// Adds an opening. A retransmission of a queued opening is not added, but
