load: preconditions, units and thread safety in doc comments

`count_opening` is called for flows that are queued for admission, as not admitted; its comment said otherwise. The others lacked the key of a map, the precondition of a shift, or the clock of an argument. Comments only; checked against the code, nothing was built or run.

--- a/src/libdogwoodtrack/carried/load/domain_exchange.hpp
+++ b/src/libdogwoodtrack/carried/load/domain_exchange.hpp
@@ -39,9 +39,10 @@
 };
 
 /// Adds a message of the balancer `sender`. Ignores messages older than the
-/// sender's latest and loads of third domains. `now_us` is the clock of which
-/// `domain_loads_message::sent_us` was taken. Returns whether the message was
-/// added.
+/// sender's latest, messages from the own domain, and loads of third domains.
+/// `now_us` is the present time, in microseconds, of the clock that this
+/// balancer takes `domain_loads_message::sent_us` from. Returns whether the
+/// message was added.
 auto add_domain_loads(domain_exchange &it, const fleet_member &sender,
                       std::uint32_t own_domain,
                       const domain_loads_message &message, std::uint64_t now_us,
--- a/src/libdogwoodtrack/carried/load/load_coordinator.hpp
+++ b/src/libdogwoodtrack/carried/load/load_coordinator.hpp
@@ -8,7 +8,8 @@
 
 /// A report counts for this time after its arrival.
 inline constexpr milliseconds report_lifetime{1'000};
-/// Balancers whose reports are kept, this one included.
+/// Balancers whose reports are kept, this one included. The largest failure
+/// domain of the design target has 395.
 inline constexpr std::size_t max_reporters = 4'096;
 
 /// Latest report of one balancer, put together from its datagrams.
@@ -32,7 +33,8 @@
 
 /// Adds a datagram of the balancer `from`. A datagram that is doubled, or older
 /// than the latest report (see `is_outdated`), is ignored. Returns whether the
-/// datagram was added.
+/// datagram was added. Precondition: `message.part` is below
+/// `max_report_parts`.
 auto add_report(report_table &it, std::uint32_t from,
                 const load_report_message &message, time_point now) -> bool;
 
@@ -48,6 +50,7 @@
     float in_flight = 0; ///< at upstreams of all failure domains
 };
 
+/// Load of a failure domain, summed up over the balancers that report.
 struct summed_load {
     boost::unordered_flat_map<service_key, summed_service> services;
     /// Requests under way from the latest reports, answers and rejections since
--- a/src/libdogwoodtrack/carried/load/load_plan_state.hpp
+++ b/src/libdogwoodtrack/carried/load/load_plan_state.hpp
@@ -25,8 +25,8 @@
     /// From 0 to 1: how far the fractions of `own_share` have risen from those
     /// that the limit allows to 1.
     float recovery = 0;
-    /// Smoothed time from request to response that this balancer saw; 0 while
-    /// unknown.
+    /// Smoothed time from request to response that this balancer saw, network
+    /// excluded; 0 while unknown.
     float service_ms = 0;
 };
 
@@ -68,8 +68,7 @@
 
 /// Applies a datagram of a plan. Datagrams of a plan older than the latest one
 /// from `from` are ignored, see `is_outdated`. Returns whether the datagram was
-/// applied.
-/// Precondition: this balancer elects `from` as its coordinator.
+/// applied. Precondition: this balancer elects `from` as its coordinator.
 auto apply_plan(load_plan_state &state, std::uint32_t from,
                 const load_plan &plan, time_point now) -> bool;
 
--- a/src/libdogwoodtrack/carried/load/load_planning.cpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -20,7 +20,8 @@
 /// silent. A single one may have been lost.
 constexpr std::uint32_t silent_openings = 2;
 /// An upstream no longer counts as silent if it left no opening unanswered for
-/// this time: longer than each balancer avoids it after one.
+/// this time. Longer than the 1.5 s for which a balancer avoids it, so that it
+/// is tried again before.
 constexpr milliseconds silence_memory{3'000};
 /// Speeds outside this range count as a constraint.
 constexpr float min_usual_speed = 0.8F;
--- a/src/libdogwoodtrack/carried/load/load_planning.hpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.hpp
@@ -40,7 +40,9 @@
 /// State of the load coordinator besides the reports. Not thread safe.
 struct load_planner {
     boost::unordered_flat_map<service_key, coordinated_service> services;
+    /// By binding code.
     boost::unordered_flat_map<std::uint32_t, silent_upstream> silent;
+    /// By binding code; upstreams that the last plan did not have are dropped.
     boost::unordered_flat_map<std::uint32_t, sent_upstream> sent;
     std::uint32_t sequence = 0; ///< of the last plan
     time_point last_planned{};
@@ -73,7 +75,7 @@
                    const planning_input &input, time_point now) -> void;
 
 /// Whether a plan limits or redirects new flows: it admits only a part, spills,
-/// or an upstream's speed differs much from the mean.
+/// or an upstream's speed differs much from the mean. Thread safe.
 auto is_binding(const service_plan &plan) -> bool;
 auto is_binding(const load_planner &it) -> bool;
 
--- a/src/libdogwoodtrack/carried/load/load_tracker.hpp
+++ b/src/libdogwoodtrack/carried/load/load_tracker.hpp
@@ -42,16 +42,17 @@
 inline constexpr std::size_t max_tracked_services = 256;
 
 /// Counts a new flow. Not to be called for retransmissions of its opening
-/// packet, nor while the decision about it is pending. `priority` is an index,
-/// see `priority_index`.
+/// packet, nor while it is held because state is missing
+/// (`verdict_kind::hold`). A flow that is queued for admission counts when it
+/// is queued, as not admitted. `priority` is an index, see `priority_index`.
 auto count_opening(load_tracker &it, service_key service, std::size_t priority,
                    bool admitted) -> void;
 
 /// A request that is sent to an upstream.
 struct tracked_request {
     service_key service = 0;
-    std::uint32_t code = 0; ///< binding code of the upstream
-    std::size_t priority = 0;
+    std::uint32_t code = 0;   ///< binding code of the upstream
+    std::size_t priority = 0; ///< see `priority_index`
     /// Not the request that the flow was opened for. That one is part of the
     /// load that `count_opening` counts.
     bool follows_up = false;
@@ -63,7 +64,7 @@
 /// Ends a request that `begin_request` has counted at the upstream `code`.
 auto end_request(load_tracker &it, std::uint32_t code) -> void;
 
-/// Counts an answer that took `ms`, network excluded.
+/// Counts an answer that took `ms` milliseconds, network excluded.
 auto count_answer(load_tracker &it, service_key service, std::uint32_t code,
                   float ms) -> void;
 
@@ -79,7 +80,7 @@
 /// for the requests under way.
 auto take_report(load_tracker &it, time_point now) -> tracked_load;
 
-/// Whether the report has any load.
+/// Whether the report has any load. Thread safe.
 auto has_traffic(const load_report &report) -> bool;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/load/spill.hpp
+++ b/src/libdogwoodtrack/carried/load/spill.hpp
@@ -13,8 +13,9 @@
     bool evacuated = false;     ///< must not receive new flows
 };
 
+/// What `compute_spill` decides from.
 struct spill_input {
-    domain_load own;
+    domain_load own; ///< of the service in the own failure domain
     /// All other failure domains with upstreams of the service. One whose load
     /// was never received has a `load` with only its name and an `age` of at
     /// least `max_load_age`.
@@ -46,7 +47,7 @@
     -> float;
 
 /// Part of the target's limit, in concurrent requests, that this domain may
-/// use. Thread safe.
+/// use. Precondition: `target` is an element of `input.others`. Thread safe.
 auto usable_capacity(const spill_input &input, const spill_target &target)
     -> float;
 
