flows, feeds: comments follow the third feed and admission

The delay after an answer that is not believed was reasoned with two feeds, of which there are three: it is now given for each feed. `steer_retry` sends no second opening only with admission enabled. Further doc comments name errors, preconditions and thread safety. Comments only; checked against the code, nothing was built or run.

--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -42,8 +42,9 @@
     std::vector<route_spec> routes;    ///< sorted by address
 };
 
-/// Largest valid `weighted_service::cold_per_s`.
+/// Largest valid `weighted_service::cold_per_s`, in requests per second.
 inline constexpr double max_cold_per_s = 1e6;
+
 /// Whether `next` is to be put in force in place of `current`. In one era of
 /// the store the later revision is; of two with the same revision, that with
 /// the higher `version`. A configuration of a later era may come from an older
--- a/src/libdogwoodtrack/carried/feeds/evacuations.hpp
+++ b/src/libdogwoodtrack/carried/feeds/evacuations.hpp
@@ -11,7 +11,7 @@
 
 /// Whether an answer of the store shows at least the changes that are known
 /// here. An older answer may arrive after a peer has sent a newer set; it must
-/// not be applied.
+/// not be applied. Thread safe.
 auto shows_known_evacuations(const feed_version &known,
                              const store_answer &answer) -> bool;
 
@@ -20,12 +20,12 @@
 auto apply_evacuations(blackboard &board, const store_answer &answer) -> bool;
 
 /// Whether the set of a peer is newer than the own one: the last change of the
-/// peer's set is later than all changes known here.
+/// peer's set is later than all changes known here. Thread safe.
 auto is_newer_set(const feed_version &known, const reported_version &reported)
     -> bool;
 
 /// Whether the set of a peer is the same as the own one: there is a store
-/// revision at which both sets were the store's.
+/// revision at which both sets were the store's. Thread safe.
 auto is_same_set(const feed_version &known, const reported_version &reported)
     -> bool;
 
--- a/src/libdogwoodtrack/carried/feeds/load_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/load_fields.hpp
@@ -79,7 +79,10 @@
 auto write_body(builder<envelope_field> &envelope,
                 const domain_loads_message &it) -> void;
 
-/// Returns nothing if the number of the part is out of range.
+/// Decode the messages about load. Malformed fields throw
+/// `protozero::exception`, which `decode_peer_message` catches. Quantities and
+/// shares that are out of range are brought into range. `read_load_report`
+/// returns nothing if the number of the part is out of range. Thread safe.
 auto read_load_report(reader<load_report_field> in)
     -> std::optional<peer_message>;
 auto read_load_plan(reader<load_plan_field> in) -> load_plan;
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -227,6 +227,7 @@
                    const store_revision &from, const reported_version &version)
     -> std::vector<records_message> {
     constexpr std::size_t fixed_fields_size = 85;
+    // Two eras and `written_in_era`, at most.
     constexpr std::size_t eras_size = 24;
     return split<records_message, upstream_record>(
         records, {.from = from, .version = version, .records = {}},
--- a/src/libdogwoodtrack/carried/feeds/restored_store.hpp
+++ b/src/libdogwoodtrack/carried/feeds/restored_store.hpp
@@ -6,8 +6,9 @@
 
 /// What a balancer does when the store comes back from an older copy: rules for
 /// answers of the store, for what peers pass on, and for state in force. Which
-/// era is believed is decided by `observe_store_era`; how a record relates to a
-/// known one of another era, by `merge_record` and `supersedes`.
+/// era is believed is decided by `observe_store_era`; how a record or a
+/// configuration relates to a known one of another era, by `merge_record` and
+/// `supersedes`. Functions that change the blackboard are not thread safe.
 
 /// Judges the era of an answer of the store. Returns whether the answer may be
 /// applied. If a lower era is adopted, all state of later eras is given a
--- a/src/libdogwoodtrack/carried/feeds/store_era.hpp
+++ b/src/libdogwoodtrack/carried/feeds/store_era.hpp
@@ -6,7 +6,7 @@
 namespace dogwoodtrack::carried {
 
 /// The era of the store (see `store_revision`) that this balancer believes in,
-/// and what has been heard of other eras.
+/// and what has been heard of other eras. Not thread safe.
 struct store_era_state {
     bool known = false;    ///< `era` was heard from the store or from a peer
     std::uint64_t era = 0; ///< the era in force
@@ -42,7 +42,8 @@
 auto observe_store_era(store_era_state &state, std::uint64_t answered)
     -> era_verdict;
 
-/// Whether a version in this era that a peer passes on may be used.
+/// Whether a version in this era that a peer passes on may be used. Thread
+/// safe.
 auto is_believable(const store_era_state &state, std::uint64_t reported)
     -> bool;
 
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -52,8 +52,8 @@
 /// turns with others, see `retry_delay`.
 constexpr milliseconds max_turn_interval{8'000};
 constexpr unsigned max_retry_doublings = 4;
-/// Time after an answer whose era was not believed until the next call. Long
-/// enough for the two watchers of two feeds to stay at 16 calls a second.
+/// Time after an answer whose era was not believed until the next call. Two
+/// watchers make at most 8 calls a second for each feed meanwhile.
 constexpr milliseconds ignored_answer_delay{250};
 /// Longest retry delay, before jitter, of a balancer that has got complete
 /// state neither from the store nor from its peers.
--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -97,7 +97,8 @@
     it = {};
 }
 
-// Decision of the admission about a new flow; nothing if it is admitted.
+// Queues or rejects a new flow as `decide_opening` says; nothing if it is
+// admitted.
 auto refuse_by_admission(steering_state &state, const packet_header &header,
                          const route_spec &route, time_point now)
     -> std::optional<verdict> {
@@ -161,7 +162,8 @@
     return known == nullptr || is_new_flow(*known, header, now);
 }
 
-// Counts a new flow for the load report, once it is decided about.
+// Counts a new flow for the load report, unless it is held for state. One that
+// is queued for admission counts as not admitted.
 auto track_decision(steering_state &state, const packet_header &header,
                     const verdict &decision) -> void {
     if (!state.in_force || decision.kind == verdict_kind::hold)
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -84,7 +84,8 @@
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict;
 
-/// Decides about an opening packet that `take_due_openings` has admitted.
+/// Decides about an opening packet that `take_due_openings` has admitted: it is
+/// not subject to admission again. Precondition: `header.opens`.
 auto steer_admitted(steering_state &state, const packet_header &header,
                     time_point now) -> verdict;
 
@@ -94,8 +95,9 @@
 /// before, or if there is no other upstream for it. If the flow is still
 /// opening and has not been retried before, also records the unanswered opening
 /// at its first upstream (see `record_unanswered`), unless that upstream has
-/// answered another flow since. While the plan limits new flows of the service,
-/// no second upstream is chosen, since every opening takes up a slot.
+/// answered another flow since. With admission enabled, no second upstream is
+/// chosen while the plan limits new flows of the service, since every opening
+/// takes up a slot.
 auto steer_retry(steering_state &state, const flow_endpoints &endpoints,
                  time_point now) -> verdict;
 
