upstreams, quota, members, report: comments follow the code

The metrics have labels of services, priorities and outcomes by now, and the index weighs cold upstreams less. Comments only; checked against the code, nothing was built or run.

--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -108,7 +108,8 @@
     -> std::uint32_t;
 
 /// As `domain_leader`, but the balancers with the addresses `skipped` are not
-/// elected, nor is this balancer if it is leaving and there are others.
+/// elected, nor is this balancer if it is leaving and another one may be
+/// elected.
 auto elect_in_own_domain(const fleet &members, std::uint64_t purpose,
                          std::span<const std::uint32_t> skipped, time_point now)
     -> std::uint32_t;
--- a/src/libdogwoodtrack/carried/quota/cold_quota.hpp
+++ b/src/libdogwoodtrack/carried/quota/cold_quota.hpp
@@ -36,6 +36,7 @@
     -> std::uint32_t;
 
 /// Adds a request that was sent at `at` and that no flow stands for any more.
+/// Removes those that were older than `cold_window` at that time.
 auto add_released(cold_usage &usage, time_point at) -> void;
 
 /// Number of upstreams that may get new flows and are cold, with a limit.
@@ -51,6 +52,8 @@
     bool small_share = false;  ///< see `takes_small_share`
 };
 
+/// Describes the division at `now`. `known` are the members from which `quota`
+/// was updated.
 auto describe_division(const cold_quota &quota, const fleet &known,
                        time_point now) -> cold_division;
 
--- a/src/libdogwoodtrack/carried/quota/quota_share.hpp
+++ b/src/libdogwoodtrack/carried/quota/quota_share.hpp
@@ -79,9 +79,8 @@
 inline constexpr milliseconds quota_leave_hold{15'000};
 
 /// Smallest number of balancers that one with a small share divides a quota
-/// among.
-/// The largest failure domain of the design target has 395 balancers. If all
-/// of them start at the same time, they take about two fifths of a quota.
+/// among. The largest failure domain of the design target has 395 balancers. If
+/// all of them start at the same time, they take about two fifths of a quota.
 inline constexpr std::uint32_t small_share_divisor = 1'024;
 
 /// A balancer is fresh until it has learned of no further balancer for this
--- a/src/libdogwoodtrack/carried/report.hpp
+++ b/src/libdogwoodtrack/carried/report.hpp
@@ -8,9 +8,9 @@
 namespace dogwoodtrack::carried {
 
 /// Counters, gauges and histograms in the Prometheus text format. Apart from
-/// the bounds of histogram buckets, the only labels are reasons of refusals,
-/// names of feeds and failure domains that receive a spill share, so the number
-/// of series is bounded.
+/// the bounds of histogram buckets, the only labels are reasons, outcomes,
+/// priorities, names of feeds, services with a load plan and failure domains
+/// that receive a spill share. Their number is bounded, so that of series is.
 auto metrics_text(const blackboard &it, const metric_set &metrics,
                   time_point now) -> std::string;
 
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
@@ -132,6 +132,7 @@
     // Another irrational ratio, so that ranks do not repeat each other's
     // points.
     constexpr std::uint32_t rank_ratio = 3'242'174'889U; // 2^32 / 1.3247
+    // The upper 24 bits of a point, as many as a float holds exactly.
     constexpr float scale = 1.0F / 16'777'216.0F;
     const auto point = index.flows++ * golden_ratio + rank * rank_ratio;
     return static_cast<float>(point >> 8) * scale;
@@ -154,6 +155,7 @@
                     .point = (point - begin) / one.share};
         begin += one.share;
     }
+    // If the shares add up to 1, rounding may leave a point beyond them.
     const auto rest = std::max(1 - begin, 1e-6F);
     return {.failure_domain = own, .point = (point - begin) / rest};
 }
--- a/src/libdogwoodtrack/carried/upstreams/restored_records.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/restored_records.hpp
@@ -25,18 +25,20 @@
 /// - Of a record of an earlier era, a later state draining or gone is applied
 ///   to a known record that need not have been written in its era. Thus a
 ///   balancer that read the restored store first learns what the others know.
+/// Thread safe.
 auto merge_record(const upstream_record &record, const upstream_record &known)
     -> std::optional<upstream_record>;
 
 /// Whether the entry `record`, listed by the store, shows an incarnation that
 /// an older copy of the store has brought back: the known incarnation is a
-/// later one and has lost its entry.
+/// later one and has lost its entry. Thread safe.
 auto is_earlier_incarnation(const upstream_record &record,
                             const upstream_record &known) -> bool;
 
 /// Whether a record is `gone` although its entry may be in the store: the state
 /// was kept against an entry of the copy. As long as this is so the record must
 /// not be forgotten, as another list would show the upstream as ready.
+/// Thread safe.
 auto is_gone_despite_entry(const upstream_record &it) -> bool;
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/upstreams/selection_index.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/selection_index.hpp
@@ -13,8 +13,9 @@
 /// from the end of its predecessor to `end`.
 struct indexed_upstream {
     std::uint32_t index = 0; ///< `upstream_index`
-    float end = 0;           ///< sum of slots x speed up to this upstream
-    float weight = 0;        ///< slots x speed
+    float end = 0;           ///< sum of `weight` up to this upstream
+    /// Slots x speed, divided by `cold_load_factor` while it is cold.
+    float weight = 0;
 };
 
 /// Upstreams of one service in one failure domain.
@@ -33,8 +34,8 @@
     std::size_t placeable = 0;    ///< number of upstreams when it was built
     /// The plan that it was built by; compared, never dereferenced.
     const service_plan *plan = nullptr;
-    /// Limit, requests under way and demand of that plan. Hardly any two plans
-    /// agree in all of them.
+    /// Limit, requests under way and demand of that plan. They tell a new plan
+    /// from that one, since hardly any two agree in all of them.
     std::array<float, 3> plan_loads{};
     time_point built{};
 };
--- a/src/libdogwoodtrack/carried/upstreams/upstream_speeds.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_speeds.hpp
@@ -60,8 +60,9 @@
 /// saw in an interval and returns speed and limit of each upstream, ordered by
 /// code. Loads of upstreams that the table does not contain are ignored. An
 /// upstream without a load in `summed` counts as idle. A speed falls to no less
-/// than half and rises by no more than a tenth in 250 ms. Precondition:
-/// `summed` has at most one element for each upstream.
+/// than half and rises by no more than a tenth in 250 ms. Preconditions:
+/// `track_upstreams` was called before, and `summed` has at most one element
+/// for each upstream.
 auto compute_speeds(speed_table &table,
                     const std::vector<upstream_load> &summed,
                     milliseconds interval) -> std::vector<upstream_plan>;
--- a/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstreams.hpp
@@ -170,13 +170,12 @@
 auto binding_code(const upstream_record &record) -> std::uint32_t;
 
 /// Applies a record unless the same or a newer one of this upstream is known,
-/// see `merge_record`. A
-/// new incarnation gets an element and a binding code of its own; the element
-/// of the previous incarnation becomes `gone` and can still be found by its
-/// code. If a record shows an incarnation that was replaced before, because a
-/// write of it was carried out late or its entry was overwritten for a while,
-/// its element is used again. Returns whether the record was applied to an
-/// upstream.
+/// see `merge_record`. A new incarnation gets an element and a binding code of
+/// its own; the element of the previous incarnation becomes `gone` and can
+/// still be found by its code. If a record shows an incarnation that was
+/// replaced before, because a write of it was carried out late or its entry was
+/// overwritten for a while, its element is used again. Returns whether the
+/// record was applied to an upstream.
 auto apply_record(upstream_table &table, const upstream_record &record,
                   time_point now) -> bool;
 
