--- a/src/libstandin/restore_drill.cpp
+++ b/src/libstandin/restore_drill.cpp
@@ -185,7 +185,7 @@
         store_.take_copy();
     }
 
-    // What the copy lacks, and who writes it again.
+    // Writes what the copy lacks.
     auto write_later_state() -> void {
         write_upstream(draining_one, "draining");
         store_.remove("servers", fmt::format("i-{:02x}", removed_one + 1));
@@ -195,6 +195,8 @@
         set_left(removed_one, monotonic::now());
     }
 
+    // Writes what was lost, within 1.5 s of the return, as the operator and the
+    // upstreams of the platform do.
     auto write_again() -> void {
         std::this_thread::sleep_for(milliseconds{500});
         write_upstream(draining_one, "draining");
@@ -309,6 +311,7 @@
         return false;
     }
 
+    // Number of balancers that place flows on the upstream that was added.
     auto count_up_to_date() const -> std::size_t {
         const auto added =
             fmt::format(R"("id":"i-{:02x}","address":"{}","state":"ready",)"
@@ -360,6 +363,7 @@
         return it;
     }
 
+    // Sends the last packets of the flows that have been open for `flow_time`.
     auto end_flows(time_point now) -> void {
         while (!open_.empty() && open_.front().first <= now) {
             const auto &last = open_.front().second;
@@ -370,6 +374,7 @@
         }
     }
 
+    // Opens one flow at each balancer.
     auto open_flows() -> void {
         constexpr std::uint16_t first_port = 1'024;
         for (std::size_t i = 0; i < drill_balancers; ++i) {
--- a/src/libstandin/restore_drill.hpp
+++ b/src/libstandin/restore_drill.hpp
@@ -9,7 +9,7 @@
 /// Variants of the drill in which the store comes back from an older copy.
 enum class drill_kind : std::uint8_t {
     once,             ///< restored while it is cut off
-    twice,            ///< restored again 3 s later
+    twice,            ///< cut off again 3 s later, and restored
     half_unreachable, ///< half of the balancers reach it only 5 s later
     restarted,        ///< all balancers restart while it is cut off
     without_header,   ///< does not report its era
@@ -46,7 +46,7 @@
 /// on loopback addresses that depend on `kind`, and sends a steady load of new
 /// flows. After the copy of the store one upstream drains, one is removed and
 /// one is added; what was written is lost, and the draining and the added
-/// upstream write again after the return. Takes about 18 s.
+/// upstream write again after the return. Takes 16 to 20 s, by its pauses.
 auto run_restore_drill(drill_kind kind, const std::string &daemon)
     -> drill_report;
 
--- a/src/libstandin/restore_drill_test.cpp
+++ b/src/libstandin/restore_drill_test.cpp
@@ -31,8 +31,10 @@
         REQUIRE(report.problem.empty());
         CHECK(report.misplaced == 0);
         CHECK(report.busiest_second <= 20);
+        // One for each of four balancers, two feeds and two restores.
         CHECK(report.lost_histories <= 16);
         CHECK(report.up_to_date == drill_balancers);
+        // Some are under way at the end, or sent while balancers restart.
         CHECK(report.delivered + 100 > report.openings);
         // Balancers that restart while the store is away know nothing.
         if (kind != drill_kind::restarted)
--- a/src/libstandin/store_standin.hpp
+++ b/src/libstandin/store_standin.hpp
@@ -31,11 +31,13 @@
     store_standin(store_standin &&) noexcept;
     ~store_standin();
 
+    /// Addresses of the store, one for each group of clients.
     auto endpoints() const -> std::array<endpoint, store_endpoint_count>;
 
     /// Writes the entry `name` of a kind; `spec` is JSON.
     auto write(const std::string &kind, const std::string &name,
                const std::string &spec) -> void;
+    /// Removes the entry `name` of a kind.
     auto remove(const std::string &kind, const std::string &name) -> void;
 
     /// Keeps a copy of the store as it is now.
