admission: room forgotten after a crowd, failing upstreams are no overload

Errors of 17% of the upstreams had reduced the limit to one request a slot, and it was kept for a peak 20 s later. Ignored answers of the store wait 400 ms, since two watchers of three feeds would make 24 calls a second (20 allowed).

--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.cpp
@@ -48,8 +48,9 @@
 /// value times 1 + t^2.
 constexpr float probing_per_s = 0.1F;
 constexpr float max_acceleration_s = 3;
-/// Growth per second towards `initial_room` while the limit is not reached.
-constexpr float idle_growth_per_s = 0.02F;
+/// A room that was learned from overload is forgotten after the limit has not
+/// been reached for this time.
+constexpr milliseconds room_memory{2'000};
 /// Time constant of the baseline's fall, and its relative rise per second. A
 /// rise may come from queueing, a fall cannot.
 constexpr float baseline_fall_s = 0.5F;
@@ -94,20 +95,19 @@
 auto update_baseline(adaptive_limit &it, const limit_sample &sample) -> void {
     if (sample.answers < min_outcomes || sample.service_ms <= 0)
         return;
-    // Rejections that have waited in a full queue pass for answers, so there
-    // seem to be more answers than there are.
-    if (it.baseline_ms > 0 && rejected_part(sample) > tolerated_rejections)
-        return;
     const auto bound = service_time_bound(it, sample);
     const auto s = interval_s(sample);
+    // Rejections that have waited in a full queue pass for answers, so there
+    // seem to be more answers than there are, and the bound is too low.
+    const auto is_reliable = rejected_part(sample) <= tolerated_rejections;
     if (it.baseline_ms <= 0)
         it.baseline_ms = bound;
-    else if (bound < it.baseline_ms)
-        it.baseline_ms +=
-            (bound - it.baseline_ms) * (1 - std::exp(-s / baseline_fall_s));
-    else
+    else if (bound >= it.baseline_ms)
         it.baseline_ms =
             std::min(bound, it.baseline_ms * (1 + baseline_rise_per_s * s));
+    else if (is_reliable)
+        it.baseline_ms +=
+            (bound - it.baseline_ms) * (1 - std::exp(-s / baseline_fall_s));
 }
 
 auto queueing_allowance_ms(const limit_sample &sample) -> float {
@@ -171,19 +171,32 @@
     return probing_per_s * (1 + t * t) * interval;
 }
 
+// Without a crowd, the overload that was seen before says little about the next
+// one: upstreams may have failed or been slow then.
+auto forget_overload(adaptive_limit &it, time_point now) -> void {
+    it.probing_since = {};
+    if (it.unreached_since == time_point{})
+        it.unreached_since = now;
+    if (now - it.unreached_since < room_memory)
+        return;
+    it.room = std::max(it.room, initial_room);
+    it.ceiling = 0;
+}
+
 auto grow(adaptive_limit &it, const limit_sample &sample, float in_flight,
           time_point now) -> void {
     const auto s = interval_s(sample);
     const auto safe = it.ceiling * safe_fraction;
     const auto recovery = (safe - it.room) * (1 - std::exp(-s / recovery_s));
-    if (in_flight < reached_fraction * it.limit)
-        it.probing_since = {};
+    const auto is_reached = in_flight >= reached_fraction * it.limit;
+    if (is_reached)
+        it.unreached_since = {};
+    else
+        forget_overload(it, now);
     if (it.room < safe)
         it.room += std::max(probing_per_s * s, recovery);
-    else if (in_flight >= reached_fraction * it.limit)
+    else if (is_reached)
         it.room += probing_step(it, s, now);
-    else if (it.room < initial_room)
-        it.room += idle_growth_per_s * s;
 }
 
 auto adapt_room(adaptive_limit &it, const limit_sample &sample, time_point now)
@@ -197,6 +210,7 @@
         return;
     }
     it.probing_since = {};
+    it.unreached_since = {};
     if (it.overloaded_since == time_point{})
         it.overloaded_since = now;
     if (now - it.overloaded_since >= reduction_interval)
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit.hpp
@@ -34,6 +34,8 @@
     time_point overloaded_since{};
     /// Since when the limit is reached without overload; 0 if it is not.
     time_point probing_since{};
+    /// Since when the limit is not reached; 0 if it is, or is exceeded.
+    time_point unreached_since{};
 };
 
 /// Updates the limit with a sample and returns the limit, which is the number
--- a/src/libdogwoodtrack/carried/admission/adaptive_limit_test.cpp
+++ b/src/libdogwoodtrack/carried/admission/adaptive_limit_test.cpp
@@ -154,6 +154,17 @@
     CHECK(it.limit.limit == doctest::Approx(established));
 }
 
+// Guards against callers who are refused because upstreams failed some time
+// ago.
+TEST_CASE("a limit that was reduced is forgotten when it is not reached") {
+    closed_loop it{.held_per_slot = 1.1F, .demand = 16'000};
+    it.run(seconds{10});
+    CHECK(it.limit.room < 1.2F);
+    it.demand = 2'000;
+    it.run(seconds{3});
+    CHECK(it.limit.room >= 1.5F);
+}
+
 // Guards against slots that stay idle for many seconds where upstreams queue
 // more than the first limit assumes.
 TEST_CASE("the limit grows faster the longer upstreams bear it") {
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -53,8 +53,8 @@
 constexpr milliseconds max_turn_interval{8'000};
 constexpr unsigned max_retry_doublings = 4;
 /// Time after an answer whose era was not believed until the next call. Two
-/// watchers make at most 8 calls a second for each feed meanwhile.
-constexpr milliseconds ignored_answer_delay{250};
+/// watchers of three feeds stay at 15 calls a second meanwhile.
+constexpr milliseconds ignored_answer_delay{400};
 /// Longest retry delay, before jitter, of a balancer that has got complete
 /// state neither from the store nor from its peers.
 constexpr milliseconds max_retry_delay_without_state{400};
--- a/src/libdogwoodtrack/carried/load/load_log.cpp
+++ b/src/libdogwoodtrack/carried/load/load_log.cpp
@@ -42,7 +42,7 @@
 
 auto log_limit(const service_plan &plan, bool binds, std::int64_t age) -> void {
     log_event(severity::info, binds ? "load_limit_binds" : "load_limit_ended",
-              {{"service", plan.service},
+              {{"service", fmt::format("{:016x}", plan.service)},
                {"admit", fmt::format("{:.3f}", fmt::join(plan.admit, " "))},
                {"limit", double{plan.limit}},
                {"demand", double{plan.demand}},
@@ -53,7 +53,7 @@
 auto log_expiry(const service_plan &plan, bool expired, std::int64_t age)
     -> void {
     log_event(severity::info, expired ? "load_plan_expired" : "load_plan_back",
-              {{"service", plan.service},
+              {{"service", fmt::format("{:016x}", plan.service)},
                {"limit", double{plan.limit}},
                {"plan_age_ms", age}});
 }
@@ -120,7 +120,7 @@
             continue;
         log_event(severity::info,
                   is_known ? "domain_load_known" : "domain_load_lost",
-                  {{"failure_domain", std::uint64_t{domain}},
+                  {{"failure_domain", fmt::format("{:08x}", domain)},
                    {"coordinator", address_text(known.coordinator)},
                    {"round_trip_ms", double{known.round_trip_ms}},
                    {"age_ms", age_ms(known.received, now)}});
--- a/src/libdogwoodtrack/carried/load/load_planning.cpp
+++ b/src/libdogwoodtrack/carried/load/load_planning.cpp
@@ -100,7 +100,9 @@
         if (is_usable(it, upstream, now))
             to.own.in_flight += static_cast<float>(load.in_flight);
         to.own.answers += load.answers;
-        to.own.rejections += load.rejections;
+        // An upstream with free slots rejects requests because it fails.
+        if (load.in_flight >= record.slots)
+            to.own.rejections += load.rejections;
         to.own_answers_ms += load.service_ms * answers;
     }
     return sums;
@@ -187,6 +189,27 @@
                      domain) != input.unreachable_domains.end();
 }
 
+// Adds the failure domains with upstreams of the service whose load is unknown.
+auto add_unknown_targets(std::vector<spill_target> &targets,
+                         service_key service, const planning_input &input)
+    -> void {
+    const auto found = input.upstreams.placeable.find(service);
+    if (found == input.upstreams.placeable.end())
+        return;
+    for (const auto index : found->second) {
+        const auto domain = input.upstreams.all[index].record.failure_domain;
+        const auto is_listed =
+            std::any_of(targets.begin(), targets.end(), [&](const auto &it) {
+                return it.load.failure_domain == domain;
+            });
+        if (domain != input.failure_domain && !is_listed)
+            targets.push_back(
+                {.load = {.service = service, .failure_domain = domain},
+                 .age = max_load_age,
+                 .reachable = !is_cut_off(input, domain)});
+    }
+}
+
 auto spill_targets(service_key service, const planning_input &input,
                    time_point now) -> std::vector<spill_target> {
     std::vector<spill_target> targets;
@@ -203,6 +226,7 @@
                  .evacuated = is_evacuated(input.upstreams, domain)});
         }
     }
+    add_unknown_targets(targets, service, input);
     std::sort(targets.begin(), targets.end(), [](const auto &a, const auto &b) {
         return a.load.failure_domain < b.load.failure_domain;
     });
@@ -223,25 +247,40 @@
     return free / sharing;
 }
 
-auto spill(coordinated_service &it, const std::vector<spill_target> &targets,
-           const service_routes &routes, const planning_input &input,
-           milliseconds interval) -> std::vector<spill_share> {
-    const spill_input wanted{.own = it.load,
-                             .others = targets,
-                             .previous = it.plan.spill,
-                             .price_ms_per_kib = input.price_ms_per_kib,
-                             .request_kib = mean_request_kib(
-                                 input.flows, input.in_force, it.load.service),
-                             .target_latency = routes.target_latency,
-                             .interval = interval};
-    auto shares = compute_spill(wanted);
-    log_spill_changes(wanted, it.logged_spill, shares);
-    return shares;
+auto make_spill_input(const coordinated_service &it,
+                      const std::vector<spill_target> &targets,
+                      const service_routes &routes, const planning_input &input,
+                      milliseconds interval) -> spill_input {
+    return {.own = it.load,
+            .others = targets,
+            .previous = it.plan.spill,
+            .price_ms_per_kib = input.price_ms_per_kib,
+            .request_kib =
+                mean_request_kib(input.flows, input.in_force, it.load.service),
+            .target_latency = routes.target_latency,
+            .interval = interval};
+}
+
+// Demand that other domains take over: the shares, or what they have room for
+// while the shares still rise. Flows beyond the shares leave the domain, too,
+// once its slots are full.
+auto spilled_demand(const spill_input &input,
+                    const std::vector<spill_share> &shares, float openings)
+    -> float {
+    float share = 0;
+    for (const auto &one : shares)
+        share += one.share;
+    float room = 0;
+    for (const auto &one : input.others)
+        room += usable_capacity(input, one);
+    const auto shortage = std::max(0.0F, input.own.demand - input.own.limit);
+    return std::max(share * openings, std::min(shortage, room));
 }
 
 auto admit(const coordinated_service &it, const planning_input &input,
-           const std::vector<spill_target> &targets, float slots)
+           const spill_input &elsewhere, float slots)
     -> std::array<float, priority_count> {
+    const auto &targets = elsewhere.others;
     const auto has_upstreams = slots > 0;
     if (baseline_ms(it) <= 0 || (has_upstreams && it.limit.limit <= 0) ||
         (!has_upstreams && targets.empty()))
@@ -253,12 +292,10 @@
         wanted.established[i] = it.requests[i] * baseline_ms(it);
         wanted.demand[i] = it.openings[i] * baseline_ms(it);
     }
-    float share = 0;
-    for (const auto &one : it.plan.spill)
-        share += one.share;
     // Without upstreams in the domain, the limit is that of the others already.
     if (has_upstreams)
-        wanted.spilled = share * sum_of(wanted.demand);
+        wanted.spilled =
+            spilled_demand(elsewhere, it.plan.spill, sum_of(wanted.demand));
     return allocate_admission(wanted);
 }
 
@@ -293,8 +330,11 @@
                .service_ms = it.service_ms};
     const auto targets = spill_targets(service, input, now);
     it.plan.service = service;
-    it.plan.spill = spill(it, targets, routes, input, interval);
-    it.plan.admit = admit(it, input, targets, sample.slots);
+    const auto elsewhere =
+        make_spill_input(it, targets, routes, input, interval);
+    it.plan.spill = compute_spill(elsewhere);
+    log_spill_changes(elsewhere, it.logged_spill, it.plan.spill);
+    it.plan.admit = admit(it, input, elsewhere, sample.slots);
     it.speeds.target_latency = routes.target_latency;
     track_upstreams(it.speeds, input.upstreams, service);
     it.plan.upstreams = compute_speeds(it.speeds, sums.upstreams, interval);
