carried: one services_in_force and one age_ms

report.cpp and admission/admission_report.cpp each listed the services in force, report.cpp and load/load_log.cpp each computed an age for logs and metrics, and load/load_metrics.cpp had a third copy of the latter.

services_in_force now stands beside names_service in feeds/configuration, age_ms in blackboard. No change of behaviour.

--- a/src/libdogwoodtrack/carried/admission/admission_report.cpp
+++ b/src/libdogwoodtrack/carried/admission/admission_report.cpp
@@ -1,6 +1,5 @@
 #include "carried/admission/admission_report.hpp"
 
-#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -10,21 +9,6 @@
 
 namespace {
 
-auto services_in_force(const steering_state &state)
-    -> std::vector<service_key> {
-    std::vector<service_key> services;
-    if (!state.in_force)
-        return services;
-    for (const auto &route : state.in_force->routes) {
-        for (const auto &it : route.services)
-            services.push_back(it.service);
-    }
-    std::sort(services.begin(), services.end());
-    services.erase(std::unique(services.begin(), services.end()),
-                   services.end());
-    return services;
-}
-
 auto write_plan(fmt::memory_buffer &out, const service_plan &plan) -> void {
     const auto write = [&](const char *name, float value) {
         fmt::format_to(std::back_inserter(out),
@@ -69,7 +53,7 @@
                      time_point now) -> void {
     if (!state.admission.enabled)
         return;
-    for (const auto service : services_in_force(state)) {
+    for (const auto service : services_in_force(state.in_force.get())) {
         if (const auto *plan = plan_for(state.plans, service, now))
             write_plan(out, *plan);
     }
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -58,4 +58,11 @@
         update_quota_members(cold.members, board.members, board.started, now);
 }
 
+auto age_ms(time_point since, time_point now) -> std::int64_t {
+    constexpr std::int64_t unknown = -1;
+    if (since == time_point{})
+        return unknown;
+    return std::chrono::duration_cast<milliseconds>(now - since).count();
+}
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -133,4 +133,8 @@
 /// balancer in its failure domain.
 auto refresh_steering(blackboard &board, time_point now) -> void;
 
+/// Time since `since` in milliseconds, for logs and metrics; -1 if `since` is
+/// the default value, which stands for never. Thread safe.
+auto age_ms(time_point since, time_point now) -> std::int64_t;
+
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/configuration.cpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.cpp
@@ -44,6 +44,21 @@
         });
 }
 
+auto services_in_force(const configuration *in_force)
+    -> std::vector<service_key> {
+    std::vector<service_key> services;
+    if (in_force == nullptr)
+        return services;
+    for (const auto &route : in_force->routes) {
+        for (const auto &it : route.services)
+            services.push_back(it.service);
+    }
+    std::sort(services.begin(), services.end());
+    services.erase(std::unique(services.begin(), services.end()),
+                   services.end());
+    return services;
+}
+
 auto choose_service(const route_spec &route, std::uint64_t flow_hash)
     -> service_key {
     std::uint64_t total = 0;
--- a/src/libdogwoodtrack/carried/feeds/configuration.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration.hpp
@@ -64,6 +64,11 @@
 /// Whether a route names this service. Thread safe.
 auto names_service(const configuration &it, service_key service) -> bool;
 
+/// Services that the routes of a configuration name, sorted and without
+/// repetition; none if `in_force` is null. Thread safe.
+auto services_in_force(const configuration *in_force)
+    -> std::vector<service_key>;
+
 /// Chooses the service that receives a new flow, by the weights of the route's
 /// services. Retransmissions of an opening packet have the same `flow_hash` and
 /// thus get the same service. If all weights are 0, returns the first service,
--- a/src/libdogwoodtrack/carried/load/load_log.cpp
+++ b/src/libdogwoodtrack/carried/load/load_log.cpp
@@ -11,13 +11,6 @@
 
 namespace {
 
-auto age_ms(time_point since, time_point now) -> std::int64_t {
-    constexpr std::int64_t unknown = -1;
-    if (since == time_point{})
-        return unknown;
-    return std::chrono::duration_cast<milliseconds>(now - since).count();
-}
-
 auto address_text(std::uint32_t address) -> std::string {
     return to_string(endpoint{.address = address});
 }
--- a/src/libdogwoodtrack/carried/load/load_metrics.cpp
+++ b/src/libdogwoodtrack/carried/load/load_metrics.cpp
@@ -48,16 +48,12 @@
     buffer out;
     if (!it.steering.plans.enabled)
         return {};
-    const auto received = it.steering.plans.received;
     write_counters(out, it.load.counters);
     write(out, "load_coordinator", "gauge", it.load.coordinates ? 1 : 0);
     write(out, "load_reporters", "gauge",
           static_cast<std::int64_t>(it.load.reports.latest.size()));
-    write(
-        out, "load_plan_age_ms", "gauge",
-        received == time_point{}
-            ? -1
-            : std::chrono::duration_cast<milliseconds>(now - received).count());
+    write(out, "load_plan_age_ms", "gauge",
+          age_ms(it.steering.plans.received, now));
     write(out, "load_domains_known", "gauge",
           static_cast<std::int64_t>(it.load.logged.known_domains.size()));
     write_admission(out, it, now);
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -34,13 +34,6 @@
                    name, value);
 }
 
-auto age_ms(time_point since, time_point now) -> std::int64_t {
-    constexpr std::int64_t unknown = -1;
-    if (since == time_point{})
-        return unknown;
-    return std::chrono::duration_cast<milliseconds>(now - since).count();
-}
-
 auto write_refusals(buffer &out, const blackboard_counters &counters) -> void {
     fmt::format_to(std::back_inserter(out),
                    "# TYPE dogwoodtrack_refused_total counter\n");
@@ -85,28 +78,13 @@
     write_gauge(out, "quota_balancers", quota_divisor(quota.members));
 }
 
-// Services that routes of the configuration in force name, without repetition.
-auto services_in_force(const steering_state &it) -> std::vector<service_key> {
-    std::vector<service_key> services;
-    if (it.in_force) {
-        for (const auto &route : it.in_force->routes) {
-            for (const auto &one : route.services)
-                services.push_back(one.service);
-        }
-    }
-    std::sort(services.begin(), services.end());
-    services.erase(std::unique(services.begin(), services.end()),
-                   services.end());
-    return services;
-}
-
 // Spill shares of the plans in use, and upstreams that these plans call slow.
 // Series exist only for domains that receive a share of some service.
 auto write_plans(buffer &out, const steering_state &it, time_point now)
     -> void {
     std::vector<const service_plan *> plans;
     std::uint64_t slow = 0;
-    for (const auto service : services_in_force(it)) {
+    for (const auto service : services_in_force(it.in_force.get())) {
         const auto *plan = plan_for(it.plans, service, now);
         if (plan == nullptr)
             continue;
