carried: unread fields and a doubled gauge removed

Nothing reads admission_state::min_share and blackboard::domain_traffic_price; the settings of these names act through load_exchange_state.

dogwoodtrack_load_admit and dogwoodtrack_admit_fraction showed the same value of the same plan. The second one stays. It is now written without admission, too, as the first one was, so an operator sees what a plan would admit before enabling admission. It has no series for services that no route names any more. The test of the metrics now requires the gauge by name in both settings.

--- a/src/libdogwoodtrack/carried/admission/admission.hpp
+++ b/src/libdogwoodtrack/carried/admission/admission.hpp
@@ -59,9 +59,6 @@
 /// Admission of this balancer. Not thread safe.
 struct admission_state {
     bool enabled = false;
-    /// Part of the room that each priority gets at least, from 0 to 1; for
-    /// `allocation_input::min_share`.
-    float min_share = 0;
     /// Initial `admission_class::credit`, from 0 to 1. It differs between
     /// balancers, so that they do not all reject their first openings of a
     /// small fraction.
--- a/src/libdogwoodtrack/carried/admission/admission_report.cpp
+++ b/src/libdogwoodtrack/carried/admission/admission_report.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-auto write_plan(fmt::memory_buffer &out, const service_plan &plan) -> void {
+auto write_limit(fmt::memory_buffer &out, const service_plan &plan) -> void {
     const auto write = [&](const char *name, float value) {
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_load_{}{{service=\"{:016x}\"}} {:.1f}\n",
@@ -18,6 +18,10 @@
     write("limit", plan.limit);
     write("in_flight", plan.in_flight);
     write("demand", plan.demand);
+}
+
+auto write_fractions(fmt::memory_buffer &out, const service_plan &plan)
+    -> void {
     for (std::size_t i = 0; i < priority_count; ++i)
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_admit_fraction{{service=\"{:016x}\","
@@ -51,12 +55,16 @@
 
 auto write_admission(fmt::memory_buffer &out, const steering_state &state,
                      time_point now) -> void {
-    if (!state.admission.enabled)
-        return;
     for (const auto service : services_in_force(state.in_force.get())) {
-        if (const auto *plan = plan_for(state.plans, service, now))
-            write_plan(out, *plan);
+        const auto *plan = plan_for(state.plans, service, now);
+        if (plan == nullptr)
+            continue;
+        if (state.admission.enabled)
+            write_limit(out, *plan);
+        write_fractions(out, *plan);
     }
+    if (!state.admission.enabled)
+        return;
     fmt::format_to(std::back_inserter(out),
                    "# TYPE dogwoodtrack_queued_openings gauge\n"
                    "dogwoodtrack_queued_openings {}\n",
--- a/src/libdogwoodtrack/carried/admission/admission_report.hpp
+++ b/src/libdogwoodtrack/carried/admission/admission_report.hpp
@@ -8,7 +8,7 @@
 
 /// Writes the metrics of admission as Prometheus text: the plan of each service
 /// in force, the number of queued openings, and the outcomes by reason and
-/// priority. Writes nothing if admission is disabled.
+/// priority. If admission is disabled, writes only the fractions of the plans.
 auto write_admission(fmt::memory_buffer &out, const steering_state &state,
                      time_point now) -> void;
 
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -372,7 +372,6 @@
     it.load.price_ms_per_kib = static_cast<float>(options.domain_traffic_price);
     it.load.min_share.fill(static_cast<float>(options.min_share));
     it.steering.admission.enabled = options.admission;
-    it.steering.admission.min_share = static_cast<float>(options.min_share);
     it.members.self.capacity = static_cast<std::uint16_t>(
         std::clamp(options.cores * millicores_per_core, 1.0, max_capacity));
     auto &steering = it.steering;
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -102,8 +102,6 @@
     /// Time within which a change accepted by the store has to be in force on
     /// every balancer.
     milliseconds apply_within{3'000};
-    /// See `balancer_options::domain_traffic_price`.
-    float domain_traffic_price = 0.5F;
     bool leaving = false; ///< a planned stop has begun
     blackboard_counters counters;
     /// Time within which an evacuation accepted by the store has to take effect
--- a/src/libdogwoodtrack/carried/load/load_metrics.cpp
+++ b/src/libdogwoodtrack/carried/load/load_metrics.cpp
@@ -29,19 +29,6 @@
         write(out, name, "counter", static_cast<std::int64_t>(value));
 }
 
-auto write_admission(buffer &out, const blackboard &it, time_point now)
-    -> void {
-    for (const auto &known : it.steering.plans.services) {
-        const auto service = known.plan.service;
-        const auto *plan = plan_for(it.steering.plans, service, now);
-        for (std::size_t i = 0; i < priority_count; ++i)
-            fmt::format_to(std::back_inserter(out),
-                           "dogwoodtrack_load_admit{{service=\"{:016x}\","
-                           "priority=\"{}\"}} {:.3f}\n",
-                           service, i, plan->admit[i]);
-    }
-}
-
 } // namespace
 
 auto load_metrics_text(const blackboard &it, time_point now) -> std::string {
@@ -56,7 +43,6 @@
           age_ms(it.steering.plans.received, now));
     write(out, "load_domains_known", "gauge",
           static_cast<std::int64_t>(it.load.logged.known_domains.size()));
-    write_admission(out, it, now);
     return fmt::to_string(out);
 }
 
--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "carried/report.hpp"
@@ -32,7 +33,8 @@
     CHECK(status["upstreams"][1]["ejected"] == false);
 }
 
-// Guards against operators who cannot see why openings are rejected.
+// Guards against operators who cannot see why openings are rejected, or what
+// the plan would admit before they enable admission.
 TEST_CASE("the metrics show the plan and the outcomes of admission, if it is "
           "enabled") {
     auto it = make_blackboard(1);
@@ -45,9 +47,14 @@
     };
     CHECK(contains("dogwoodtrack_refused_total{why=\"overload\"} 0"));
     CHECK_FALSE(contains("dogwoodtrack_admission_total"));
+    const auto fraction =
+        fmt::format("dogwoodtrack_admit_fraction{{service=\"{:016x}\","
+                    "priority=\"1\"}} 0.500\n",
+                    bookings);
+    CHECK(contains(fraction.c_str()));
     it.steering.admission.enabled = true;
     CHECK(contains("dogwoodtrack_admission_total{outcome=\"displaced\","));
-    CHECK(contains("priority=\"1\"} 0.500"));
+    CHECK(contains(fraction.c_str()));
     CHECK(contains("dogwoodtrack_queued_openings 0"));
     CHECK(contains("dogwoodtrack_load_limit{service="));
 }
