load_tracker: openings from the queue count as admitted

An opening that is queued for admission is counted on arrival as not admitted. steer_admitted, which places it later, counted nothing, so load reports showed fewer admitted flows than there were.

count_admission now counts the flow as admitted when it is placed, perhaps in a later report than its opening. A report with nothing but such a flow is not taken for empty. Not covered: a queued opening that is admitted by its retransmission, after the limit has ceased to apply, still counts as not admitted.

The new test fails without the call in steer_admitted (0 admitted instead of 1).

--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -176,6 +176,19 @@
         decision.kind == verdict_kind::forward);
 }
 
+// Counts a flow from the admission's queue for the load report, once it is
+// placed. `track_decision` has counted its opening when it was queued.
+auto track_admission(steering_state &state, const packet_header &header,
+                     const verdict &decision) -> void {
+    if (decision.kind != verdict_kind::forward)
+        return;
+    const auto *route = find_route(*state.in_force, header.endpoints.service);
+    count_admission(
+        state.flows.load,
+        choose_service(*route, flow_endpoints_hash{}(header.endpoints)),
+        priority_index(route->priority));
+}
+
 // Upstream that a packet after the opening goes to. The first such packet
 // carries the binding of the upstream that the caller connected to. Later
 // packets go to this upstream even if the answer of a second upstream has
@@ -269,7 +282,10 @@
 
 auto steer_admitted(steering_state &state, const packet_header &header,
                     time_point now) -> verdict {
-    return steer_opening(state, header, true, now);
+    const auto decision = steer_opening(state, header, true, now);
+    if (state.flows.load.enabled)
+        track_admission(state, header, decision);
+    return decision;
 }
 
 auto steer_retry(steering_state &state, const flow_endpoints &endpoints,
--- a/src/libdogwoodtrack/carried/load/load_tracker.cpp
+++ b/src/libdogwoodtrack/carried/load/load_tracker.cpp
@@ -30,7 +30,8 @@
     return it.in_flight > 0 || it.answers > 0 || it.rejections > 0 ||
            std::any_of(it.priorities.begin(), it.priorities.end(),
                        [](const priority_load &one) {
-                           return one.openings > 0 || one.requests > 0;
+                           return one.openings > 0 || one.admitted > 0 ||
+                                  one.requests > 0;
                        });
 }
 
@@ -83,6 +84,14 @@
         ++load->priorities[priority].admitted;
 }
 
+auto count_admission(load_tracker &it, service_key service,
+                     std::size_t priority) -> void {
+    if (!it.enabled)
+        return;
+    if (auto *load = service_of(it, service))
+        ++load->priorities[priority].admitted;
+}
+
 auto begin_request(load_tracker &it, const tracked_request &request) -> void {
     if (!it.enabled)
         return;
--- a/src/libdogwoodtrack/carried/load/load_tracker.hpp
+++ b/src/libdogwoodtrack/carried/load/load_tracker.hpp
@@ -42,11 +42,18 @@
 inline constexpr std::size_t max_tracked_services = 256;
 
 /// Counts a new flow. Not to be called for retransmissions of its opening
-/// packet, nor while the decision about it is pending. `priority` is an index,
-/// see `priority_index`.
+/// packet, nor while the packet is held. An opening that is queued for
+/// admission counts as not admitted, until `count_admission`. `priority` is an
+/// index, see `priority_index`.
 auto count_opening(load_tracker &it, service_key service, std::size_t priority,
                    bool admitted) -> void;
 
+/// Counts as admitted a new flow that `count_opening` has counted as not
+/// admitted, since the decision about it was deferred. The flow may be part of
+/// an earlier report.
+auto count_admission(load_tracker &it, service_key service,
+                     std::size_t priority) -> void;
+
 /// A request that is sent to an upstream.
 struct tracked_request {
     service_key service = 0;
--- a/src/libdogwoodtrack/carried/load/load_tracker_test.cpp
+++ b/src/libdogwoodtrack/carried/load/load_tracker_test.cpp
@@ -62,6 +62,46 @@
     CHECK(take(it).priorities[2].openings == 1);
 }
 
+// Guards against a report in which flows that waited for admission were never
+// admitted, which understates what a limit lets through.
+TEST_CASE("an opening from the queue is counted as admitted once it is "
+          "placed") {
+    auto it = make_state(1);
+    it.admission.enabled = true;
+    use_plan(it.plans, {.service = bookings, .admit = {1, 1, 0.4F, 1}}, start);
+    auto now = start;
+    std::uint16_t port = 1;
+    std::uint32_t forwarded = 0;
+    verdict decision;
+    while (decision.kind != verdict_kind::queue && port < 1'000) {
+        now += milliseconds{2};
+        decision = steer(it, opening_packet(++port), now);
+        forwarded += decision.kind == verdict_kind::forward ? 1 : 0;
+    }
+    REQUIRE(decision.kind == verdict_kind::queue);
+    const auto on_arrival = take(it, now).priorities[2];
+    CHECK(on_arrival.openings == port - 1U);
+    CHECK(on_arrival.admitted == forwarded);
+    it.plans = {};
+    const auto due = take_due_openings(it.admission, it.plans, now);
+    REQUIRE(due.admitted.size() == 1);
+    SUBCASE("at an upstream") {
+        REQUIRE(steer_admitted(it, due.admitted[0].header, now).kind ==
+                verdict_kind::forward);
+        const auto from_queue = take(it, now).priorities[2];
+        CHECK(from_queue.openings == 0);
+        CHECK(from_queue.admitted == 1);
+    }
+    SUBCASE("not at all, since the upstream is gone") {
+        auto record = make_record("i-0", 9);
+        record.state = upstream_state::gone;
+        apply_record(it.upstreams, record, now);
+        REQUIRE(steer_admitted(it, due.admitted[0].header, now).kind ==
+                verdict_kind::reject);
+        CHECK(take(it, now).priorities[2].admitted == 0);
+    }
+}
+
 // Guards against counting the request of a new flow twice, as demand of the
 // opening and as one of an established flow.
 TEST_CASE("only requests after a flow's first one count as requests of "
--- a/src/libdogwoodtrack/carried/load/load_types.hpp
+++ b/src/libdogwoodtrack/carried/load/load_types.hpp
@@ -20,7 +20,9 @@
 /// New flows and requests of one priority that a balancer saw in an interval.
 struct priority_load {
     std::uint32_t openings = 0; ///< new flows, admitted or not
-    std::uint32_t admitted = 0; ///< new flows that were admitted
+    /// New flows that were admitted, on arrival or later from the queue. A flow
+    /// of the queue may have been counted in `openings` of an earlier interval.
+    std::uint32_t admitted = 0;
     std::uint32_t requests = 0; ///< requests sent on established flows
 };
 
