--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -46,6 +46,21 @@
     bool can_serve_logged = false; ///< the event `can_serve` has been logged
 };
 
+/// Sends messages to other balancers.
+auto send_messages(balancer_context &it,
+                   const std::vector<outgoing_message> &messages) -> void;
+
+/// Receives and handles messages that have arrived at `peers`, a limited number
+/// per call, and sends the answers to them.
+auto receive_peer_messages(balancer_context &it) -> void;
+
+/// Handles the store's answers that have arrived or failed, and schedules the
+/// next calls.
+auto handle_store_answers(balancer_context &it, time_point now) -> void;
+
+/// Starts the calls to the store that are due.
+auto start_store_calls(balancer_context &it, time_point now) -> void;
+
 /// Receives and handles packets that have arrived at `link`, a limited number
 /// per call.
 auto receive_packets(balancer_context &it) -> void;
