--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -102,8 +102,6 @@
     /// Time within which a change accepted by the store has to be in force on
     /// every balancer.
     milliseconds apply_within{3'000};
-    /// See `balancer_options::domain_traffic_price`.
-    float domain_traffic_price = 0.5F;
     bool leaving = false; ///< a planned stop has begun
     blackboard_counters counters;
     /// Time within which an evacuation accepted by the store has to take effect
@@ -133,4 +131,8 @@
 /// balancer in its failure domain.
 auto refresh_steering(blackboard &board, time_point now) -> void;
 
+/// Time since `since` in milliseconds, for logs and metrics; -1 if `since` is
+/// the default value, which stands for never. Thread safe.
+auto age_ms(time_point since, time_point now) -> std::int64_t;
+
 } // namespace dogwoodtrack::carried
