steering, selection: functions that an explanation needs are public

An explanation of where a new flow goes must use the functions that decide. make_new_flow, is_configuration_current, is_avoided, mean_service_time, compared_load, planned_weight and planned_load were local to their files; they are declared now, and the decisions call them as before. No behaviour changes: of 244 unit test cases of the carried link, 243 pass.

--- a/src/libdogwoodtrack/carried/flows/steering.cpp
+++ b/src/libdogwoodtrack/carried/flows/steering.cpp
@@ -42,11 +42,9 @@
     -> verdict {
     const auto service =
         choose_service(route, flow_endpoints_hash{}(header.endpoints));
-    const new_flow wanted{.service = service,
-                          .kind = route.kind,
-                          .excluded =
-                              known == nullptr ? no_upstream : known->to,
-                          .plan = coordinated_plan(state, service, now)};
+    auto wanted = make_new_flow(state, route, service, now);
+    if (known != nullptr)
+        wanted.excluded = known->to;
     const auto to =
         choose_upstream(state.upstreams, wanted, state.position, now);
     if (to == no_upstream)
@@ -71,15 +69,6 @@
     return forward_to(state, to);
 }
 
-// Whether the configuration counts as current. Evaluated anew for each decision
-// that depends on it, since a periodic check may be late after a pause of the
-// process.
-auto is_configuration_current(const steering_state &state, time_point now)
-    -> bool {
-    return state.configuration_confirmed != time_point{} &&
-           now - state.configuration_confirmed < configuration_max_age;
-}
-
 // Whether an opening packet with the endpoints of a known flow opens a new
 // flow, because the caller reuses its port. Retransmissions of the known flow's
 // opening packet arrive before `connect_timeout`.
@@ -224,6 +213,19 @@
     return names[static_cast<std::size_t>(why)];
 }
 
+auto make_new_flow(const steering_state &state, const route_spec &route,
+                   service_key service, time_point now) -> new_flow {
+    return {.service = service,
+            .kind = route.kind,
+            .plan = coordinated_plan(state, service, now)};
+}
+
+auto is_configuration_current(const steering_state &state, time_point now)
+    -> bool {
+    return state.configuration_confirmed != time_point{} &&
+           now - state.configuration_confirmed < configuration_max_age;
+}
+
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict {
     if (header.opens) {
--- a/src/libdogwoodtrack/carried/flows/steering.hpp
+++ b/src/libdogwoodtrack/carried/flows/steering.hpp
@@ -80,6 +80,18 @@
     admission_state admission;
 };
 
+/// Requirements of a new flow of the route on its upstream. The plan is the
+/// load coordinator's, or null: a plan that this balancer has derived itself
+/// does not say where flows go. Valid until the plans change.
+auto make_new_flow(const steering_state &state, const route_spec &route,
+                   service_key service, time_point now) -> new_flow;
+
+/// Whether the configuration counts as current. Evaluated anew for each
+/// decision that depends on it, since a periodic check may be late after a
+/// pause of the process.
+auto is_configuration_current(const steering_state &state, time_point now)
+    -> bool;
+
 /// Decides about one packet of a caller and updates the packet's flow.
 auto steer(steering_state &state, const packet_header &header, time_point now)
     -> verdict;
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.cpp
@@ -52,11 +52,7 @@
     index.on_probation.clear();
     for (const auto i : list) {
         const auto &it = table.all[i];
-        auto weight =
-            static_cast<float>(std::max<unsigned>(1, it.record.slots)) *
-            it.planned_speed;
-        if (now < it.warm_at)
-            weight /= cold_load_factor;
+        const auto weight = planned_weight(it, now);
         auto &line = domain_of(index, it.record.failure_domain).upstreams;
         const auto end = (line.empty() ? 0 : line.back().end) + weight;
         line.push_back({.index = i, .end = end, .weight = weight});
@@ -212,16 +208,6 @@
     return std::fmod(part.begin + offset, total);
 }
 
-// Load of an upstream with the new flow included, in flows for each slot. Free
-// slots are taken evenly, so that the work done is in proportion to the speed;
-// flows that have to wait are weighted by the speed.
-auto planned_load(const upstream &it, float weight) -> float {
-    const auto slots =
-        static_cast<float>(std::max<unsigned>(1, it.record.slots));
-    const auto flows = static_cast<float>(it.stats.open) + 1;
-    return flows <= slots ? flows / slots : 1 + (flows - slots) / weight;
-}
-
 // Examines upstreams at equal distances on the capacity line, as many as there
 // are.
 auto examine(upstream_table &table, const indexed_domain &domain,
@@ -271,6 +257,20 @@
 
 } // namespace
 
+auto planned_weight(const upstream &it, time_point now) -> float {
+    const auto weight =
+        static_cast<float>(std::max<unsigned>(1, it.record.slots)) *
+        it.planned_speed;
+    return now < it.warm_at ? weight / cold_load_factor : weight;
+}
+
+auto planned_load(const upstream &it, float weight) -> float {
+    const auto slots =
+        static_cast<float>(std::max<unsigned>(1, it.record.slots));
+    const auto flows = static_cast<float>(it.stats.open) + 1;
+    return flows <= slots ? flows / slots : 1 + (flows - slots) / weight;
+}
+
 auto choose_planned_upstream(upstream_table &table, const new_flow &wanted,
                              const service_plan &plan,
                              const domain_position &position, time_point now)
--- a/src/libdogwoodtrack/carried/upstreams/planned_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/planned_selection.hpp
@@ -23,6 +23,18 @@
                              const domain_position &position, time_point now)
     -> upstream_index;
 
+/// Capacity of the upstream on the line of its failure domain: slots x speed by
+/// the latest plan that `choose_planned_upstream` has applied, less while the
+/// upstream is cold. Thread safe.
+auto planned_weight(const upstream &it, time_point now) -> float;
+
+/// Load by which `choose_planned_upstream` compares upstreams, with the new
+/// flow included, in flows for each slot. Free slots are taken evenly, so that
+/// the work done is in proportion to the speed; flows that have to wait are
+/// weighted by the speed. `weight` is the upstream's `planned_weight`. Thread
+/// safe.
+auto planned_load(const upstream &it, float weight) -> float;
+
 /// Candidates that are examined for one new flow in one failure domain.
 inline constexpr std::size_t max_examined = 32;
 
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.cpp
@@ -27,21 +27,6 @@
 constexpr float min_speed = 0.15F;
 constexpr float max_speed = 2.0F;
 
-// Mean service time of the upstreams, each weighted by its number of responses,
-// at most 8.
-auto mean_service_time(const upstream_table &table,
-                       const std::vector<upstream_index> &list) -> float {
-    float sum = 0;
-    float weight = 0;
-    for (const auto index : list) {
-        const auto &stats = table.all[index].stats;
-        const auto n = static_cast<float>(std::min(stats.served, 8U));
-        sum += stats.service_ms * n;
-        weight += n;
-    }
-    return weight > 0 ? sum / weight : 0;
-}
-
 // Speed of the upstream relative to the mean of its service; close to 1 while
 // it has few responses.
 auto speed_of(const upstream &it, float mean_ms) -> float {
@@ -55,11 +40,6 @@
     return std::clamp(mean_ms / expected_ms, min_speed, max_speed);
 }
 
-auto is_avoided(const upstream &it, time_point now) -> bool {
-    return now < it.stats.avoid_until || is_ejected(it, now) ||
-           is_on_probation(it, now);
-}
-
 auto is_trial_due(const upstream &it, time_point now) -> bool {
     return !is_ejected(it, now) && now - it.stats.last_trial >= trial_interval;
 }
@@ -151,11 +131,7 @@
             !may_get_flow(table, index, wanted, position.failure_domain, now,
                           reasons))
             continue;
-        const auto speed =
-            wanted.plan == nullptr
-                ? speed_of(it, mean_ms)
-                : std::clamp(it.planned_speed, min_speed, max_speed);
-        const auto load = load_after_placing(it, position, speed, now);
+        const auto load = compared_load(it, wanted, position, mean_ms, now);
         const auto at_limit = wanted.plan != nullptr && is_at_planned_limit(it);
         if (at_limit || !is_candidate(it, index, wanted, now))
             fallback.offer(index, load);
@@ -171,6 +147,33 @@
 
 } // namespace
 
+auto is_avoided(const upstream &it, time_point now) -> bool {
+    return now < it.stats.avoid_until || is_ejected(it, now) ||
+           is_on_probation(it, now);
+}
+
+auto mean_service_time(const upstream_table &table,
+                       const std::vector<upstream_index> &list) -> float {
+    float sum = 0;
+    float weight = 0;
+    for (const auto index : list) {
+        const auto &stats = table.all[index].stats;
+        const auto n = static_cast<float>(std::min(stats.served, 8U));
+        sum += stats.service_ms * n;
+        weight += n;
+    }
+    return weight > 0 ? sum / weight : 0;
+}
+
+auto compared_load(const upstream &it, const new_flow &wanted,
+                   const domain_position &position, float mean_ms,
+                   time_point now) -> float {
+    const auto speed = wanted.plan == nullptr
+                           ? speed_of(it, mean_ms)
+                           : std::clamp(it.planned_speed, min_speed, max_speed);
+    return load_after_placing(it, position, speed, now);
+}
+
 auto is_candidate(const upstream &it, upstream_index index,
                   const new_flow &wanted, time_point now) -> bool {
     return index != wanted.excluded && it.death != upstream_death::cut_off &&
--- a/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
+++ b/src/libdogwoodtrack/carried/upstreams/upstream_selection.hpp
@@ -46,6 +46,10 @@
                      const domain_position &position, time_point now)
     -> upstream_index;
 
+/// Whether the upstream is avoided because it left openings unanswered, is
+/// ejected or is on probation, see `choose_upstream`.
+auto is_avoided(const upstream &it, time_point now) -> bool;
+
 /// Whether the upstream at `index` is neither excluded, cut off, nor avoided.
 /// An avoided upstream is a candidate if it may get a trial flow now.
 auto is_candidate(const upstream &it, upstream_index index,
@@ -57,6 +61,19 @@
     return it.planned_limit > 0 && it.stats.open >= it.planned_limit;
 }
 
+/// Mean service time of the upstreams in milliseconds, each weighted by its
+/// number of responses, at most 8; 0 without responses.
+auto mean_service_time(const upstream_table &table,
+                       const std::vector<upstream_index> &list) -> float;
+
+/// Load by which `choose_upstream` compares upstreams of all failure domains:
+/// flows for each slot with the new flow included, relative to the speed of the
+/// upstream. `mean_ms` is the `mean_service_time` of the service's upstreams;
+/// it is not used with a load plan, whose speeds apply. Thread safe.
+auto compared_load(const upstream &it, const new_flow &wanted,
+                   const domain_position &position, float mean_ms,
+                   time_point now) -> float;
+
 /// Load factor of an upstream that has just started and is therefore slower.
 inline constexpr float cold_load_factor = 1.6F;
 
