--- a/src/dogwoodtrackd-carried/settings.cpp
+++ b/src/dogwoodtrackd-carried/settings.cpp
@@ -61,7 +61,7 @@
     add("--ready", raw.ready, "READY", "Endpoint for readiness checks (HTTP)")
         ->required();
     add("--operators", raw.operators, "OPERATORS",
-        "Endpoint for /metrics and /status (HTTP); none if empty");
+        "Endpoint for /metrics, /status and /explain (HTTP); none if empty");
     add("--store", raw.store, "STORE", "Endpoint of the platform's store")
         ->required();
     add("--seed", raw.seeds, "SEEDS", "Endpoints of some other balancers")
--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -10,6 +10,7 @@
 
 #include "carried/admission/admission_report.hpp"
 #include "carried/evacuation_log.hpp"
+#include "carried/explanation_report.hpp"
 #include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
 #include "carried/feeds/restored_store.hpp"
@@ -466,6 +467,9 @@
                 return http_reply{
                     .body = status_json(it.state, it.options.name, now),
                     .type = "application/json"};
+            if (path.substr(0, path.find('?')) == explain_path)
+                return explain_reply(it.state.steering, it.options.name, path,
+                                     now);
             return http_reply{.status = not_found};
         });
 }
--- a/src/libdogwoodtrack/carried/balancer.hpp
+++ b/src/libdogwoodtrack/carried/balancer.hpp
@@ -44,7 +44,7 @@
     std::string failure_domain;
     endpoint link;               ///< callers' packets (UDP)
     endpoint peers;              ///< messages from other balancers (UDP)
-    endpoint operators;          ///< metrics and status (HTTP); none if port 0
+    endpoint operators;          ///< for operators (HTTP); none if port 0
     std::vector<endpoint> seeds; ///< balancers to contact while too few are
                                  ///< known; ports are ignored
     double cores = 1;            ///< CPU cores available to this instance
