--- a/src/dogwoodtrack/commands.hpp
+++ b/src/dogwoodtrack/commands.hpp
@@ -34,6 +34,17 @@
 /// safe.
 auto fail(const error &why) -> tool_exit;
 
+/// Response of one instance to an HTTP request.
+struct instance_reply {
+    int status = 0; ///< 0 if the instance did not respond
+    std::string body;
+};
+
+/// Sends GET `path` to the operators' endpoint `instance`. Takes at most two
+/// seconds to connect and two to wait for the response. Thread safe.
+auto query_instance(const std::string &instance, const std::string &path)
+    -> instance_reply;
+
 /// Response of one instance. `body` is null if the instance did not respond or
 /// its response was not JSON.
 struct instance_response {
@@ -111,6 +122,19 @@
 auto show_timeline(const tool_settings &settings,
                    const timeline_settings &filter) -> tool_exit;
 
+/// The flow that the command `explain` asks about.
+struct explain_settings {
+    std::string service; ///< endpoint that callers open flows to
+    std::string caller;  ///< empty: a caller without a history
+};
+
+/// Prints, for each instance, where a new flow would go now, and why. No packet
+/// is sent to an upstream. Returns `tool_exit::usage` if an endpoint is
+/// malformed or no instance is given, and `tool_exit::failed` if an instance
+/// did not explain.
+auto explain_flow(const tool_settings &settings, const explain_settings &flow)
+    -> tool_exit;
+
 /// Returns a self-contained HTML page that shows the events, with one
 /// horizontal line for each instance. Precondition: `events` is an array
 /// ordered by stamp. Thread safe.
--- a/src/dogwoodtrack/fleet_commands.cpp
+++ b/src/dogwoodtrack/fleet_commands.cpp
@@ -17,17 +17,11 @@
 
 // Returns the body of the response, or an empty string if the instance did not
 // respond with status 200.
-auto query_instance(const std::string &instance, const std::string &path)
+auto query_body(const std::string &instance, const std::string &path)
     -> std::string {
-    auto address = parse_endpoint(instance);
-    if (!address)
-        return {};
-    httplib::Client client(instance.substr(0, instance.rfind(':')),
-                           address.value().port);
-    client.set_connection_timeout(request_timeout);
-    client.set_read_timeout(request_timeout);
-    const auto response = client.Get(path);
-    return response && response->status == 200 ? response->body : std::string{};
+    constexpr int ok = 200;
+    auto reply = query_instance(instance, path);
+    return reply.status == ok ? std::move(reply.body) : std::string{};
 }
 
 auto print_json(const std::vector<instance_response> &responses) -> tool_exit {
@@ -175,12 +169,27 @@
     return tool_exit::failed;
 }
 
+auto query_instance(const std::string &instance, const std::string &path)
+    -> instance_reply {
+    auto address = parse_endpoint(instance);
+    if (!address)
+        return {};
+    httplib::Client client(instance.substr(0, instance.rfind(':')),
+                           address.value().port);
+    client.set_connection_timeout(request_timeout);
+    client.set_read_timeout(request_timeout);
+    const auto response = client.Get(path);
+    if (!response)
+        return {};
+    return {.status = response->status, .body = response->body};
+}
+
 auto query_instances(const tool_settings &settings, const std::string &path)
     -> std::vector<instance_response> {
     std::vector<instance_response> responses;
     for (const auto &it : settings.instances) {
         const auto body =
-            ordered_json::parse(query_instance(it, path), nullptr, false);
+            ordered_json::parse(query_body(it, path), nullptr, false);
         responses.push_back(
             {.instance = it,
              .body = body.is_discarded() ? ordered_json() : body});
@@ -274,7 +283,7 @@
 
 auto show_metrics(const tool_settings &settings) -> tool_exit {
     for (const auto &it : settings.instances)
-        fmt::print("{}", query_instance(it, "/metrics"));
+        fmt::print("{}", query_body(it, "/metrics"));
     return tool_exit::done;
 }
 
--- a/src/dogwoodtrack/main.cpp
+++ b/src/dogwoodtrack/main.cpp
@@ -14,6 +14,7 @@
     tool_settings settings;
     apply_settings apply;
     timeline_settings timeline;
+    explain_settings explain;
     std::string customer;
     std::string file;
     std::function<tool_exit()> command;
@@ -117,6 +118,27 @@
     });
 }
 
+auto add_explain(CLI::App &app, arguments &args) -> void {
+    auto *command = app.add_subcommand(
+        "explain",
+        "Show where a new flow to a service address would go now, and why, "
+        "without sending anything: explain 198.18.0.1:443 --caller "
+        "100.64.0.7:40000 --instances 10.0.0.1:4002");
+    command->fallthrough(); // --json and --instances may follow the address
+    command
+        ->add_option("service", args.explain.service,
+                     "Address and port of the service, a.b.c.d:port")
+        ->required();
+    command->add_option("--caller", args.explain.caller,
+                        "Address and port of the caller, a.b.c.d:port; a "
+                        "caller without a history if not given");
+    command->callback([&] {
+        args.command = [&] {
+            return explain_flow(args.settings, args.explain);
+        };
+    });
+}
+
 auto print_completions(const CLI::App &app) -> tool_exit {
     std::string words;
     for (const auto *it : app.get_subcommands({}))
@@ -165,6 +187,7 @@
                      "Show the settings in effect on each balancer",
                      show_config);
     add_timeline(app, args);
+    add_explain(app, args);
     app.add_subcommand("completions",
                        "Print a command that sets up completion in bash")
         ->callback(
