feeds: logs and metrics that tell apart why a feed is late

Change: events feed_late, feed_in_time_again, feed_confirmed (debug), took_ms in store_answer; dogwoodtrack_feed_behind_ms and dogwoodtrack_feed_late_total. No decision reads them.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -120,6 +120,7 @@
     it.next_tick = now + tick_interval;
     auto &steering = it.state.steering;
     refresh_steering(it.state, now);
+    log_late_feeds(it, now);
     log_cold_division(it, now);
     expire_upstreams(steering.upstreams, it.options.flow_lifetime + seconds{5},
                      now);
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -58,6 +58,9 @@
 /// next calls.
 auto handle_store_answers(balancer_context &it, time_point now) -> void;
 
+/// Logs each feed that has become late or is no longer, see `update_lateness`.
+auto log_late_feeds(balancer_context &it, time_point now) -> void;
+
 /// Starts the calls to the store that are due.
 auto start_store_calls(balancer_context &it, time_point now) -> void;
 
--- a/src/libdogwoodtrack/carried/balancer_feeds.cpp
+++ b/src/libdogwoodtrack/carried/balancer_feeds.cpp
@@ -20,16 +20,23 @@
 /// Longest part of an entry's name that is logged, in bytes.
 constexpr std::size_t max_logged_name = 100;
 
-// Logs each feed whose version differs from that in `before`, because of the
-// answer or message `cause`. `from` is the address of the balancer that sent
-// it, 0 for the store.
+// Logs each feed that was confirmed, or whose version differs from that in
+// `before`, because of the answer or message `cause`. `from` is the address of
+// the balancer that sent it, 0 for the store.
 auto log_version_changes(const balancer_context &it,
                          const std::array<feed_version, feed_count> &before,
-                         std::string_view cause, std::uint32_t from) -> void {
+                         std::string_view cause, std::uint32_t from,
+                         time_point now) -> void {
     if (!is_logged(severity::debug))
         return;
     for (std::size_t i = 0; i < feed_count; ++i) {
         const auto &version = it.state.versions[i];
+        if (version.confirmed != before[i].confirmed)
+            log_event(severity::debug, "feed_confirmed",
+                      {{"feed", std::string(to_string(static_cast<feed>(i)))},
+                       {"cause", std::string(cause)},
+                       {"from", to_string(endpoint{.address = from})},
+                       {"age_ms", age_ms(version.confirmed, now)}});
         if (version.content == before[i].content &&
             version.as_of == before[i].as_of &&
             version.complete == before[i].complete)
@@ -70,7 +77,8 @@
 }
 
 auto log_store_answer(const balancer_context &it, const store_answer &answer,
-                      bool was_unreachable, bool was_unreadable) -> void {
+                      bool was_unreachable, bool was_unreadable, time_point now)
+    -> void {
     const std::string feed_name(to_string(answer.what));
     if (it.state.store_era.unreadable && !was_unreadable)
         log_event(severity::warning, "store_era_unreadable",
@@ -84,12 +92,16 @@
     else if (was_unreachable)
         log_event(severity::info, "store_back",
                   {{"feed", feed_name}, {"as_of", answer.as_of.number}});
-    log_event(severity::debug, "store_answer",
-              {{"feed", feed_name},
-               {"outcome", std::string(to_string(answer.outcome))},
-               {"as_of", answer.as_of.number},
-               {"era", answer.as_of.era},
-               {"records", std::uint64_t{answer.records.size()}}});
+    log_event(
+        severity::debug, "store_answer",
+        {{"feed", feed_name},
+         {"outcome", std::string(to_string(answer.outcome))},
+         {"as_of", answer.as_of.number},
+         {"era", answer.as_of.era},
+         {"took_ms",
+          age_ms(it.state.calls[static_cast<std::size_t>(answer.what)].started,
+                 now)},
+         {"records", std::uint64_t{answer.records.size()}}});
 }
 
 // Counts and logs the entries in an answer that could not be used: the first
@@ -107,8 +119,31 @@
                    {"rejected", std::uint64_t{rejected.size()}}});
 }
 
+// Logs one feed that became late, or is no longer.
+auto log_lateness(const blackboard &board, feed what, time_point now) -> void {
+    const auto i = static_cast<std::size_t>(what);
+    const auto late = board.progress[i].late;
+    log_event(
+        late ? severity::warning : severity::info,
+        late ? "feed_late" : "feed_in_time_again",
+        {{"feed", std::string(to_string(what))},
+         {"unconfirmed_ms", age_ms(board.versions[i].confirmed, now)},
+         {"behind_ms", std::int64_t{behind_for(board, what, now).count()}},
+         {"content", board.versions[i].content.number},
+         {"heard", board.progress[i].heard.number},
+         {"calling", board.calls[i].in_flight}});
+}
+
 } // namespace
 
+auto log_late_feeds(balancer_context &it, time_point now) -> void {
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto what = static_cast<feed>(i);
+        if (update_lateness(it.state, what, now))
+            log_lateness(it.state, what, now);
+    }
+}
+
 auto send_messages(balancer_context &it,
                    const std::vector<outgoing_message> &messages) -> void {
     for (const auto &one : messages) {
@@ -143,7 +178,7 @@
         const auto now = monotonic::now();
         on_peer_message(it.state, sender, *message, now, out);
         log_era_change(it, era_before, message_name(*message), sender, now);
-        log_version_changes(it, before, message_name(*message), sender);
+        log_version_changes(it, before, message_name(*message), sender, now);
         log_evacuation_change(it.state, evacuations_before,
                               message_name(*message), sender, now);
     }
@@ -160,9 +195,10 @@
         on_store_answer(it.state, answer, now, out);
         log_era_change(it, era_before, to_string(answer.outcome), 0, now);
         schedule_next_call(it.state, answer, now);
-        log_store_answer(it, answer, was_unreachable, era_before.unreadable);
+        log_store_answer(it, answer, was_unreachable, era_before.unreadable,
+                         now);
         report_rejected_entries(it, answer);
-        log_version_changes(it, before, to_string(answer.outcome), 0);
+        log_version_changes(it, before, to_string(answer.outcome), 0, now);
         log_evacuation_change(it.state, evacuations_before,
                               to_string(answer.outcome), 0, now);
     }
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "carried/feeds/feed_progress.hpp"
 #include "carried/feeds/reassembly.hpp"
 #include "carried/feeds/store.hpp"
 #include "carried/feeds/store_era.hpp"
@@ -24,6 +25,7 @@
     /// The era of the last answer was not believed.
     bool ignored = false;
     store_revision since; ///< of the last watch
+    time_point started{}; ///< when the last call was started
     /// Where to watch from if the store has gone back without a new era; else
     /// no revision, and `feed_version::as_of` applies.
     store_revision went_back_to;
@@ -84,6 +86,7 @@
     store_era_state store_era;
     std::array<feed_version, feed_count> versions{};
     std::array<store_call_state, feed_count> calls{};
+    std::array<feed_progress, feed_count> progress{};
     /// When each feed was last requested from a peer, or a part of it last
     /// arrived; reset once all parts have arrived.
     std::array<time_point, feed_count> last_pulled{};
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -104,8 +104,10 @@
     if (!is_enabled(board, feed::evacuations) ||
         !is_believable(board.store_era, reported))
         return;
-    if (is_newer_set(own_version, reported))
+    if (is_newer_set(own_version, reported)) {
+        note_reported_content(board, feed::evacuations, reported.content, now);
         return pull(board, from, feed::evacuations, now, out);
+    }
     if (is_same_set(own_version, reported))
         adopt_confirmation(board, feed::evacuations, reported, now);
 }
@@ -128,6 +130,7 @@
         return adopt_confirmation(board, what, reported, now);
     if (!reported.complete)
         return;
+    note_reported_content(board, what, reported.content, now);
     // The peer may not know of a removal that is not known here either.
     if (own_version.complete && own_version.as_of < reported.removals_since)
         return pull(board, from, what, now, out);
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -154,6 +154,7 @@
         !decide_store_call(board, what, now))
         return std::nullopt;
     call.in_flight = true;
+    call.started = now;
     ++board.counters.store_calls;
     const auto &own_version = version_of(board, what);
     // Except at the first start of the system, a cheaper list, possibly stale,
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -49,10 +49,14 @@
             continue;
         fmt::format_to(std::back_inserter(out),
                        "dogwoodtrack_feed_revision{{feed=\"{0}\"}} {1}\n"
-                       "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n",
+                       "dogwoodtrack_feed_unconfirmed_ms{{feed=\"{0}\"}} {2}\n"
+                       "dogwoodtrack_feed_behind_ms{{feed=\"{0}\"}} {3}\n"
+                       "dogwoodtrack_feed_late_total{{feed=\"{0}\"}} {4}\n",
                        to_string(static_cast<feed>(i)),
                        it.versions[i].as_of.number,
-                       age_ms(it.versions[i].confirmed, now));
+                       age_ms(it.versions[i].confirmed, now),
+                       behind_for(it, static_cast<feed>(i), now).count(),
+                       it.progress[i].times_late);
     }
 }
 
--- a/src/libdogwoodtrack/carried/report_test.cpp
+++ b/src/libdogwoodtrack/carried/report_test.cpp
@@ -77,3 +77,33 @@
     CHECK(has(start, "dogwoodtrack_slow_upstreams 1\n"));
     CHECK_FALSE(has(start + plan_lifetime, share));
 }
+
+// Guards against late changes that no metric shows.
+TEST_CASE("the metrics show how long a balancer has lacked content that it "
+          "heard of, and how often a feed was late") {
+    auto it = make_blackboard(1);
+    auto &version = version_of(it, feed::configuration);
+    version = {.content = make_revision(5),
+               .as_of = make_revision(5),
+               .confirmed = start,
+               .complete = true};
+    const auto has = [&](time_point now, const char *line) {
+        return metrics_text(it, {}, now).find(line) != std::string::npos;
+    };
+    const auto *in_time =
+        "dogwoodtrack_feed_behind_ms{feed=\"configuration\"} 0\n";
+    note_reported_content(it, feed::configuration, make_revision(5), start);
+    CHECK(has(start, in_time));
+    note_reported_content(it, feed::configuration, make_revision(6), start);
+    note_reported_content(it, feed::configuration, make_revision(7),
+                          start + seconds{1});
+    CHECK(has(start + seconds{2},
+              "dogwoodtrack_feed_behind_ms{feed=\"configuration\"} 2000\n"));
+    CHECK_FALSE(update_lateness(it, feed::configuration, start + seconds{3}));
+    CHECK(update_lateness(it, feed::configuration,
+                          start + it.apply_within + milliseconds{1}));
+    CHECK(
+        has(start, "dogwoodtrack_feed_late_total{feed=\"configuration\"} 1\n"));
+    version.content = make_revision(7);
+    CHECK(has(start + seconds{4}, in_time));
+}
