--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -485,3 +485,32 @@
                             16};
     CHECK_FALSE(decode_peer_message(found));
 }
+
+// Guards against a fleet in which nobody takes over watching the store: a
+// balancer that had stood still took the age in a message for that of the time
+// at which it read the message, and passed this on.
+TEST_CASE("a digest that lay unread does not confirm a feed as of a later time "
+          "than the store did") {
+    board_pair two;
+    const auto sent_at = start + seconds{1};
+    std::vector<outgoing_message> out;
+    send_digests(two.a, sent_at, out);
+    const auto read_at = start + seconds{4};
+    deliver({&two.a, &two.b}, 1, out, read_at);
+    for (const auto what : {feed::configuration, feed::upstreams})
+        CHECK(version_of(two.b, what).confirmed <= start);
+}
+
+TEST_CASE("a peer's confirmation that is asked for confirms a feed as of when "
+          "the store did, at the latest") {
+    board_pair two;
+    const auto confirmed_at = start + seconds{1};
+    apply_answer(two.a, make_changes({}, 11), confirmed_at);
+    const auto asked_at = start + seconds{2};
+    std::vector<outgoing_message> out;
+    send_digests(two.b, asked_at, out);
+    deliver({&two.a, &two.b}, 2, out, asked_at);
+    const auto &confirmed = version_of(two.b, feed::upstreams).confirmed;
+    CHECK(confirmed <= confirmed_at);
+    CHECK(confirmed > start);
+}
--- a/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
@@ -177,3 +177,46 @@
         CHECK_FALSE(call->may_be_stale);
     }
 }
+
+// Guards against a balancer that stood still while an answer arrived, and then
+// vouched to all others for a state that was seconds old.
+TEST_CASE("an answer that lay unread does not confirm a feed as of a later "
+          "time than the end of its watch") {
+    auto it = make_fleet().front();
+    const auto asked_at = start + seconds{5};
+    const auto watch = next_store_call(it, feed::upstreams, asked_at);
+    REQUIRE(watch);
+    const store_answer no_changes{.what = feed::upstreams,
+                                  .outcome = store_outcome::changed,
+                                  .as_of = make_revision(10)};
+    std::vector<outgoing_message> out;
+    on_store_answer(it, no_changes, asked_at + seconds{4}, out);
+    const auto &confirmed = version_of(it, feed::upstreams).confirmed;
+    CHECK(confirmed >= asked_at);
+    CHECK(confirmed <= asked_at + watch->wait);
+}
+
+// Guards against changes that come into force late on a balancer that hears
+// from no other one but reaches the store.
+TEST_CASE("every balancer asks the store itself in good time, whatever its "
+          "rank, unless a peer confirms the feed") {
+    constexpr int latest_percent = 75;
+    const auto now = start + seconds{10};
+    for (std::uint32_t address = 1; address <= 300; ++address) {
+        auto it = make_blackboard(address);
+        for (std::uint32_t i = 1'001; i <= 1'050; ++i)
+            update_member(it.members, {.address = i,
+                                       .failure_domain = 1,
+                                       .capacity = 900,
+                                       .last_heard = now});
+        auto &version = version_of(it, feed::configuration);
+        version = {.content = make_revision(5),
+                   .as_of = make_revision(5),
+                   .confirmed = now,
+                   .complete = true};
+        CAPTURE(address);
+        CHECK_FALSE(next_store_call(it, feed::configuration, now));
+        CHECK(next_store_call(it, feed::configuration,
+                              now + it.apply_within * latest_percent / 100));
+    }
+}
