gossip: a peer's confirmation counts as of the time at which it was asked for

Cause: a digest carries the age of the store's last confirmation, and the receiver took it off the time at which it read the digest. A balancer that had stood still read digests of seconds ago and passed the wrong time on; all others kept the latest, so that nobody took over watching the store.

Change: a balancer that wants to know states its own time in the question (`asked_at`); the answer repeats it, and its age is taken off that time. However long either message was under way, the result is not later than what the store did. A digest asks; a peer that knows better answers; one that seems to know better is asked; a confirmation that replaces an old one is passed on at once.

--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -93,6 +93,9 @@
     /// Addresses of starting balancers, and when this balancer last sent them
     /// the feeds that they lacked, or a digest if the state is large.
     boost::unordered_flat_map<std::uint32_t, time_point> bootstrapped_peers;
+    /// When a peer was last asked about a confirmation that seemed later than
+    /// the own one.
+    time_point last_asked{};
     partial_configuration incoming_configuration;
     partial_records incoming_records;
     partial_evacuations incoming_evacuations;
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -1,6 +1,7 @@
 #include "carried/feeds/gossip.hpp"
 
 #include <algorithm>
+#include <bitset>
 
 #include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip_sending.hpp"
@@ -35,6 +36,29 @@
 /// balancer.
 constexpr milliseconds bootstrap_interval{400};
 
+/// Part of a feed's time bound, in percent: a peer is asked about a
+/// confirmation that seems later than the own one by this much.
+constexpr int ask_margin_percent = 10;
+/// Shortest time between two such questions.
+constexpr milliseconds ask_interval{50};
+/// Part of a feed's time bound, in percent: a confirmation that replaces one
+/// older than this is passed on at once, not with the next digest.
+constexpr int forwarded_age_percent = 40;
+/// A peer that asks is told of a confirmation that is later by this much.
+constexpr milliseconds news_margin{20};
+
+// Time as of which the store confirmed a reported version, at the latest:
+// default value if unknown, because this balancer did not ask for the version.
+// Messages may lie unread for seconds when a balancer stands still, so the time
+// at which one is read says nothing.
+auto confirmation_time(const blackboard &board,
+                       const reported_version &reported, time_point now)
+    -> time_point {
+    const auto is_plausible =
+        reported.asked_at >= board.started && reported.asked_at <= now;
+    return is_plausible ? reported.asked_at - reported.age : time_point{};
+}
+
 // Adopts `as_of` and the time of the store's confirmation from a peer, each if
 // it is later than the own one, and updates `last_peer_confirmation` likewise.
 // Precondition: this balancer has all that the peer has of the feed.
@@ -45,9 +69,10 @@
     auto &call = board.calls[static_cast<std::size_t>(what)];
     own_version.as_of = std::max(own_version.as_of, reported.as_of);
     adopt_peer_era(board, reported, now);
-    own_version.confirmed = std::max(own_version.confirmed, now - reported.age);
+    const auto confirmed = confirmation_time(board, reported, now);
+    own_version.confirmed = std::max(own_version.confirmed, confirmed);
     call.last_peer_confirmation =
-        std::max(call.last_peer_confirmation, now - reported.age);
+        std::max(call.last_peer_confirmation, confirmed);
 }
 
 // ---- digests
@@ -90,9 +115,11 @@
         defers_to_own_domain(board, from, now))
         return;
     last_pulled = now;
-    out.push_back({.to = from,
-                   .message = pull_message{
-                       .what = what, .since = version_of(board, what).as_of}});
+    out.push_back(
+        {.to = from,
+         .message = pull_message{.what = what,
+                                 .since = version_of(board, what).as_of,
+                                 .asked_at = now}});
 }
 
 // Requests the set of evacuated failure domains if that of the peer is newer,
@@ -158,15 +185,85 @@
         return;
     last_sent = now;
     if (!is_state_small(board)) {
-        out.push_back({.to = to, .message = make_digest(board, 0, now)});
+        out.push_back(
+            {.to = to,
+             .message = make_digest(board, 0, message.asked_at, now)});
         return;
     }
     for (std::size_t i = 0; i < feed_count; ++i) {
         if (!message.versions[i].complete)
-            send_state(board, to, static_cast<feed>(i), {}, now, out);
+            send_state(board, to, static_cast<feed>(i), {}, message.asked_at,
+                       now, out);
+    }
+}
+
+// ---- confirmations
+
+// Time by which the confirmation that a peer reports seems later than the own
+// one of the same content; not positive if it does not.
+auto reported_lead(const blackboard &board, feed what,
+                   const reported_version &reported, time_point now)
+    -> monotonic::duration {
+    const auto &own_version = version_of(board, what);
+    if (!is_enabled(board, what) || !own_version.complete ||
+        !reported.complete || reported.content != own_version.content ||
+        !is_believable(board.store_era, reported))
+        return monotonic::duration{0};
+    return now - reported.age - own_version.confirmed;
+}
+
+// Tells a peer that asked of content or confirmations that are later than its
+// own.
+auto answer_question(blackboard &board, std::uint32_t from,
+                     const digest_message &message, time_point now,
+                     std::vector<outgoing_message> &out) -> void {
+    if (message.asked_at == time_point{})
+        return;
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto what = static_cast<feed>(i);
+        const auto &own_version = version_of(board, what);
+        const auto &reported = message.versions[i];
+        const auto has_newer = own_version.complete && reported.complete &&
+                               own_version.content > reported.content;
+        if (has_newer ||
+            reported_lead(board, what, reported, now) < -news_margin) {
+            out.push_back(
+                {.to = from,
+                 .message = make_digest(board, 0, message.asked_at, now)});
+            return;
+        }
     }
 }
 
+// Asks a peer about its versions if it seems to know a later confirmation of a
+// feed than this balancer.
+auto ask_for_confirmation(blackboard &board, std::uint32_t from, feed what,
+                          const reported_version &reported, time_point now,
+                          std::vector<outgoing_message> &out) -> void {
+    const auto margin = time_bound(board, what) * ask_margin_percent / 100;
+    if (now - board.last_asked < ask_interval ||
+        reported_lead(board, what, reported, now) <= margin)
+        return;
+    board.last_asked = now;
+    auto question = make_digest(board, 0, {}, now);
+    question.asked_at = now;
+    out.push_back({.to = from, .message = std::move(question)});
+}
+
+// Feeds whose last confirmation is so old that others may lack a later one,
+// too.
+auto feeds_to_forward(const blackboard &board, time_point now)
+    -> std::bitset<feed_count> {
+    std::bitset<feed_count> feeds;
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto bound = time_bound(board, static_cast<feed>(i));
+        feeds[i] = is_enabled(board, static_cast<feed>(i)) &&
+                   now - board.versions[i].confirmed >
+                       bound * forwarded_age_percent / 100;
+    }
+    return feeds;
+}
+
 auto handle_message(blackboard &board, std::uint32_t from,
                     const digest_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
@@ -181,17 +278,25 @@
         if (now - member.last_heard < member_retention(board.members))
             update_member(board.members, member);
     }
+    const auto unconfirmed = feeds_to_forward(board, now);
     for (std::size_t i = 0; i < feed_count; ++i)
         compare_version(board, from, static_cast<feed>(i), message.versions[i],
                         now, out);
+    if ((unconfirmed & ~feeds_to_forward(board, now)).any())
+        advertise(board, from, now, out);
     if (message.wants_state)
         bootstrap_peer(board, from, message, now, out);
+    answer_question(board, from, message, now, out);
+    for (std::size_t i = 0; i < feed_count; ++i)
+        ask_for_confirmation(board, from, static_cast<feed>(i),
+                             message.versions[i], now, out);
 }
 
 auto handle_message(blackboard &board, std::uint32_t from,
                     const pull_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
-    send_state(board, from, message.what, message.since, now, out);
+    send_state(board, from, message.what, message.since, message.asked_at, now,
+               out);
 }
 
 // ---- records
@@ -253,6 +358,8 @@
     adopt_version(board, feed::upstreams, message.version, now);
     board.steering.upstreams_known = true;
     board.last_pulled[static_cast<std::size_t>(feed::upstreams)] = {};
+    ask_for_confirmation(board, from, feed::upstreams, message.version, now,
+                         out);
     if (changed && !initial)
         forward_records(board, previous_as_of, from, now, out);
 }
@@ -374,7 +481,8 @@
         board.bootstrapped_peers, [&](const auto &entry) {
             return now - entry.second >= bootstrap_interval;
         });
-    const auto digest = make_digest(board, digest_member_limit, now);
+    auto digest = make_digest(board, digest_member_limit, {}, now);
+    digest.asked_at = now;
     const auto peers = random_peers(board.members, digest_peers, 2, now);
     for (const auto to : peers)
         out.push_back({.to = to, .message = digest});
@@ -399,7 +507,7 @@
     if (is_new_member && std::holds_alternative<digest_message>(message))
         out.push_back(
             {.to = from,
-             .message = make_digest(board, digest_member_limit, now)});
+             .message = make_digest(board, digest_member_limit, {}, now)});
 }
 
 } // namespace dogwoodtrack::carried
--- a/src/libdogwoodtrack/carried/feeds/gossip.hpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.hpp
@@ -5,21 +5,24 @@
 namespace dogwoodtrack::carried {
 
 /// Sends a digest, a summary of this balancer's state, to a few random peers.
-/// The digest also serves as the heartbeat of this balancer.
+/// The digest also serves as the heartbeat of this balancer, and asks for what
+/// the peers know better.
 auto send_digests(blackboard &board, time_point now,
                   std::vector<outgoing_message> &out) -> void;
 
 /// Handles a message from a peer. If a digest shows that the peer has newer
-/// state, this state is requested from the peer; if both have the same state,
-/// what the store confirmed to the peer counts as confirmed here, too. State
-/// that is new to this balancer is forwarded to a few peers.
+/// state, this state is requested from the peer. If both have the same state,
+/// what the store confirmed to the peer counts as confirmed here, too, provided
+/// that the message answers a question of this balancer: its age is then taken
+/// off the time of the question. State that is new to this balancer is
+/// forwarded to a few peers.
 auto on_peer_message(blackboard &board, std::uint32_t from,
                      const peer_message &message, time_point now,
                      std::vector<outgoing_message> &out) -> void;
 
 /// Sends a digest without members to a few peers other than `except`. They
-/// request the state that is new to them and adopt the store's confirmation of
-/// state that they have.
+/// request the state that is new to them and ask for the store's confirmation
+/// of state that they have.
 auto advertise(blackboard &board, std::uint32_t except, time_point now,
                std::vector<outgoing_message> &out) -> void;
 
--- a/src/libdogwoodtrack/carried/feeds/gossip_sending.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_sending.cpp
@@ -23,7 +23,9 @@
                     board.steering.upstreams.forgotten);
 }
 
-auto make_reported_version(const blackboard &board, feed what, time_point now)
+// Version for a peer that asked at `asked_at` by its own clock, or did not.
+auto make_reported_version(const blackboard &board, feed what,
+                           time_point asked_at, time_point now)
     -> reported_version {
     if (!is_enabled(board, what))
         return {};
@@ -32,7 +34,8 @@
             .as_of = it.as_of,
             .age = std::chrono::ceil<milliseconds>(now - it.confirmed),
             .complete = it.complete,
-            .removals_since = removals_since(board, what)};
+            .removals_since = removals_since(board, what),
+            .asked_at = asked_at};
 }
 
 // The records have the warm-up time that remains now, not the one when the
@@ -55,27 +58,31 @@
 // after `since` may be unknown here: the receiver then finds out what is
 // missing.
 auto send_records(const blackboard &board, std::uint32_t to,
-                  store_revision since, time_point now,
+                  store_revision since, time_point asked_at, time_point now,
                   std::vector<outgoing_message> &out) -> void {
     if (since < removals_since(board, feed::upstreams))
         since = {};
-    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto version =
+        make_reported_version(board, feed::upstreams, asked_at, now);
     add_messages(
         to, split_records(records_since(board, since, now), since, version),
         out);
 }
 
-auto send_routes(const blackboard &board, std::uint32_t to, time_point now,
-                 std::vector<outgoing_message> &out) -> void {
+auto send_routes(const blackboard &board, std::uint32_t to, time_point asked_at,
+                 time_point now, std::vector<outgoing_message> &out) -> void {
     if (!board.steering.in_force)
         return;
-    const auto version = make_reported_version(board, feed::configuration, now);
+    const auto version =
+        make_reported_version(board, feed::configuration, asked_at, now);
     add_messages(to, split_routes(*board.steering.in_force, version), out);
 }
 
-auto send_evacuations(const blackboard &board, std::uint32_t to, time_point now,
+auto send_evacuations(const blackboard &board, std::uint32_t to,
+                      time_point asked_at, time_point now,
                       std::vector<outgoing_message> &out) -> void {
-    const auto version = make_reported_version(board, feed::evacuations, now);
+    const auto version =
+        make_reported_version(board, feed::evacuations, asked_at, now);
     add_messages(to, split_evacuations(board.evacuations.domains, version),
                  out);
 }
@@ -90,8 +97,8 @@
 
 } // namespace
 
-auto make_digest(blackboard &board, std::size_t member_limit, time_point now)
-    -> digest_message {
+auto make_digest(blackboard &board, std::size_t member_limit,
+                 time_point asked_at, time_point now) -> digest_message {
     digest_message digest;
     digest.sender = board.members.self;
     digest.sender.leaving = board.leaving;
@@ -99,7 +106,7 @@
     digest.limit_binds = limit_binds(board.steering.plans, now);
     for (std::size_t i = 0; i < feed_count; ++i)
         digest.versions[i] =
-            make_reported_version(board, static_cast<feed>(i), now);
+            make_reported_version(board, static_cast<feed>(i), asked_at, now);
     for (const auto &member :
          select_digest_members(board.members, member_limit, now))
         digest.members.push_back(
@@ -109,24 +116,24 @@
 }
 
 auto send_state(const blackboard &board, std::uint32_t to, feed what,
-                const store_revision &since, time_point now,
-                std::vector<outgoing_message> &out) -> void {
+                const store_revision &since, time_point asked_at,
+                time_point now, std::vector<outgoing_message> &out) -> void {
     if (!version_of(board, what).complete)
         return;
     switch (what) {
     case feed::configuration:
-        return send_routes(board, to, now, out);
+        return send_routes(board, to, asked_at, now, out);
     case feed::evacuations:
-        return send_evacuations(board, to, now, out);
+        return send_evacuations(board, to, asked_at, now, out);
     default:
-        return send_records(board, to, since, now, out);
+        return send_records(board, to, since, asked_at, now, out);
     }
 }
 
 auto advertise(blackboard &board, std::uint32_t except, time_point now,
                std::vector<outgoing_message> &out) -> void {
     for (const auto to : select_push_peers(board, except, now))
-        out.push_back({.to = to, .message = make_digest(board, 0, now)});
+        out.push_back({.to = to, .message = make_digest(board, 0, {}, now)});
 }
 
 auto forward_records(blackboard &board, const store_revision &since,
@@ -135,7 +142,7 @@
     const auto records = records_since(board, since, now);
     if (records.size() > max_pushed_records)
         return advertise(board, except, now, out);
-    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto version = make_reported_version(board, feed::upstreams, {}, now);
     const auto parts = split_records(records, since, version);
     for (const auto to : select_push_peers(board, except, now))
         add_messages(to, parts, out);
@@ -150,7 +157,7 @@
     const auto from_revision = version_of(board, feed::upstreams).as_of;
     if (corrections.empty() || from_revision == store_revision{})
         return;
-    const auto version = make_reported_version(board, feed::upstreams, now);
+    const auto version = make_reported_version(board, feed::upstreams, {}, now);
     const auto parts = split_records(corrections, from_revision, version);
     add_messages(from, parts, out);
     for (const auto to : select_push_peers(board, from, now))
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -504,9 +504,9 @@
 TEST_CASE("a peer's confirmation that is asked for confirms a feed as of when "
           "the store did, at the latest") {
     board_pair two;
-    const auto confirmed_at = start + seconds{1};
+    const auto confirmed_at = start + milliseconds{500};
     apply_answer(two.a, make_changes({}, 11), confirmed_at);
-    const auto asked_at = start + seconds{2};
+    const auto asked_at = start + seconds{1};
     std::vector<outgoing_message> out;
     send_digests(two.b, asked_at, out);
     deliver({&two.a, &two.b}, 2, out, asked_at);
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -46,19 +46,22 @@
     removals_since = 5,
     content_era = 6,
     as_of_era = 7,
-    removals_since_era = 8
+    removals_since_era = 8,
+    asked_at_ms = 9
 };
 enum class digest_field : protozero::pbf_tag_type {
     sender = 1,
     version = 2,
     member = 3,
     wants_state = 4,
-    limit_binds = 6
+    limit_binds = 6,
+    asked_at_ms = 7
 };
 enum class pull_field : protozero::pbf_tag_type {
     what = 1,
     since = 2,
-    since_era = 3
+    since_era = 3,
+    asked_at_ms = 4
 };
 enum class record_field : protozero::pbf_tag_type {
     id = 1,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -13,6 +13,14 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value.count()));
 }
 
+// Writes a time of a balancer's clock, unless it is the default value.
+template <typename Field>
+auto write_time(builder<Field> &out, Field field, time_point it) -> void {
+    if (it != time_point{})
+        out.add_uint64(field, to_wire_ms(std::chrono::floor<milliseconds>(
+                                  it.time_since_epoch())));
+}
+
 // Writes a revision and, unless it is 0, its era.
 template <typename Field>
 auto write_revision(builder<Field> &out, Field number, Field era,
@@ -42,6 +50,7 @@
     if (it.removals_since != store_revision{})
         write_revision(out, version_field::removals_since,
                        version_field::removals_since_era, it.removals_since);
+    write_time(out, version_field::asked_at_ms, it.asked_at);
 }
 
 auto write(builder<record_field> out, const upstream_record &it) -> void {
@@ -98,6 +107,7 @@
         out.add_bool(digest_field::wants_state, true);
     if (it.limit_binds)
         out.add_bool(digest_field::limit_binds, true);
+    write_time(out, digest_field::asked_at_ms, it.asked_at);
 }
 
 auto write_body(builder<envelope_field> &envelope, const pull_message &it)
@@ -105,6 +115,7 @@
     builder<pull_field> out(envelope, envelope_field::pull);
     out.add_uint32(pull_field::what, static_cast<std::uint32_t>(it.what));
     write_revision(out, pull_field::since, pull_field::since_era, it.since);
+    write_time(out, pull_field::asked_at_ms, it.asked_at);
 }
 
 auto write_body(builder<envelope_field> &envelope, const records_message &it)
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -22,6 +22,10 @@
     milliseconds age{0}; ///< since the store last confirmed `as_of`
     bool complete = false;
     store_revision removals_since;
+    /// When the receiver asked for this version, by its own clock; default
+    /// value: it did not ask. The version and its age are at least as recent,
+    /// however long the message was under way or lay unread.
+    time_point asked_at{};
 };
 
 /// A member as reported by a peer.
@@ -39,12 +43,16 @@
     bool wants_state = false;
     /// The sender follows a load plan that admits only a part of the new flows.
     bool limit_binds = false;
+    /// Time of sending by the sender's clock, if the sender wants to be told of
+    /// versions and confirmations that are later than its own.
+    time_point asked_at{};
 };
 
 /// Requests everything in a feed that changed after store revision `since`.
 struct pull_message {
     feed what{};
     store_revision since;
+    time_point asked_at{}; ///< time of sending by the sender's clock
 };
 
 /// One part of the upstream records that changed after store revision `from`. A
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -13,6 +13,15 @@
     return milliseconds{static_cast<std::int64_t>(std::min(value, max_ms))};
 }
 
+// Reads a time of a balancer's clock. One that no clock can show counts as
+// none.
+auto to_time_point(std::uint64_t ms) -> time_point {
+    constexpr std::uint64_t max_ms = 1ULL << 42U;
+    return ms > max_ms
+               ? time_point{}
+               : time_point{milliseconds{static_cast<std::int64_t>(ms)}};
+}
+
 // Reads a bool field as an integer: if a message ends after the tag of the
 // field, protozero's `get_bool` reads past the end of the message.
 template <typename Field>
@@ -74,6 +83,9 @@
         case version_field::removals_since_era:
             it.removals_since.era = in.get_uint64();
             break;
+        case version_field::asked_at_ms:
+            it.asked_at = to_time_point(in.get_uint64());
+            break;
         default:
             in.skip();
         }
@@ -230,6 +242,9 @@
         case digest_field::limit_binds:
             it.limit_binds = read_flag(in);
             break;
+        case digest_field::asked_at_ms:
+            it.asked_at = to_time_point(in.get_uint64());
+            break;
         default:
             in.skip();
         }
@@ -254,6 +269,9 @@
         case pull_field::since_era:
             it.since.era = in.get_uint64();
             break;
+        case pull_field::asked_at_ms:
+            it.asked_at = to_time_point(in.get_uint64());
+            break;
         default:
             in.skip();
         }
