store_answers: an answer confirms a feed as of its call, not of its reading

A watcher that stood still finds an answer of seconds ago, vouches for it as current, and all others wait from the wrong time on. Suspected from the source; no play has shown it.

Cause: `on_store_answer` took the time of reading for that of the confirmation.

Change: an answer confirms the feed as of the start of its call, that of a watch without changes as of the end of its wait, which the store kept. As an answer with changes confirms less, the watch after it is shorter: a confirmation of a watcher is at most 45 % of the bound old.

--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -26,6 +26,7 @@
     bool ignored = false;
     store_revision since; ///< of the last watch
     time_point started{}; ///< when the last call was started
+    milliseconds wait{0}; ///< of the last call, see `store_call::wait`
     /// Where to watch from if the store has gone back without a new era; else
     /// no revision, and `feed_version::as_of` applies.
     store_revision went_back_to;
--- a/src/libdogwoodtrack/carried/feeds/store_answers.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_answers.cpp
@@ -1,6 +1,7 @@
 #include "carried/feeds/store_answers.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "carried/feeds/evacuations.hpp"
 #include "carried/feeds/gossip.hpp"
@@ -130,6 +131,20 @@
            answer.as_of < own_version.as_of;
 }
 
+// Time as of which an answer certainly shows the state of the store: the end
+// of the wait if it is that of a watch without changes, else the start of the
+// call. When it was read says nothing: it may have lain unread while this
+// balancer stood still.
+auto confirmation_time(const store_call_state &call, const store_answer &answer,
+                       time_point now) -> time_point {
+    const auto changed = !answer.records.empty() ||
+                         !answer.evacuations.empty() ||
+                         answer.latest_configuration;
+    const auto waited = answer.outcome == store_outcome::changed && !changed &&
+                        now - call.started >= call.wait;
+    return waited ? call.started + call.wait : call.started;
+}
+
 auto handle_success(blackboard &board, const store_answer &answer,
                     time_point now, std::vector<outgoing_message> &out)
     -> void {
@@ -153,7 +168,8 @@
     }
     own_version.as_of = std::max(own_version.as_of, answer.as_of);
     if (!answer.may_be_stale)
-        own_version.confirmed = now;
+        own_version.confirmed = std::max(own_version.confirmed,
+                                         confirmation_time(call, answer, now));
     own_version.complete =
         answer.what != feed::configuration || board.steering.in_force;
     if (answer.may_be_stale)
@@ -199,7 +215,11 @@
                      time_point now, std::vector<outgoing_message> &out)
     -> void {
     auto &call = board.calls[static_cast<std::size_t>(received.what)];
-    call.in_flight = false;
+    if (!std::exchange(call.in_flight, false)) {
+        // An answer without a call is as recent as it looks.
+        call.started = now;
+        call.wait = milliseconds{0};
+    }
     call.ignored = !accept_answer_era(board, received, now);
     if (call.ignored)
         return record_store_answer(board, received.what, now);
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -29,6 +29,12 @@
 /// A watch call waits at most this part of the time bound for the store to
 /// report a change.
 constexpr int watch_wait_percent = 30;
+/// A watch call waits at least this part of the time bound.
+constexpr int min_watch_wait_percent = 5;
+/// A watch call waits until the last confirmation is this part of the time
+/// bound old. It is older than that of a watch without changes after an answer
+/// with changes, which confirms the state as of the start of its call only.
+constexpr int confirmation_age_percent = 40;
 /// For this part of the time bound after its start, a balancer knows too few
 /// peers to determine its rank.
 constexpr int rank_unknown_percent = 30;
@@ -118,6 +124,16 @@
     return call.taken_over;
 }
 
+auto watch_wait(const blackboard &board, feed what, time_point now)
+    -> milliseconds {
+    const auto bound = time_bound(board, what);
+    const auto age = std::chrono::duration_cast<milliseconds>(
+        now - version_of(board, what).confirmed);
+    return std::clamp(bound * confirmation_age_percent / 100 - age,
+                      bound * min_watch_wait_percent / 100,
+                      bound * watch_wait_percent / 100);
+}
+
 // Time between two calls of a balancer that takes turns with the others, see
 // `retry_delay`.
 auto turn_interval(const blackboard &board, feed what, time_point now)
@@ -155,6 +171,7 @@
         return std::nullopt;
     call.in_flight = true;
     call.started = now;
+    call.wait = milliseconds{0};
     ++board.counters.store_calls;
     const auto &own_version = version_of(board, what);
     // Except at the first start of the system, a cheaper list, possibly stale,
@@ -172,10 +189,8 @@
         return store_call{.what = what, .list = true};
     call.since = call.went_back_to != store_revision{} ? call.went_back_to
                                                        : own_version.as_of;
-    return store_call{.what = what,
-                      .since = call.since,
-                      .wait =
-                          time_bound(board, what) * watch_wait_percent / 100};
+    call.wait = watch_wait(board, what, now);
+    return store_call{.what = what, .since = call.since, .wait = call.wait};
 }
 
 auto schedule_next_call(blackboard &board, const store_answer &answer,
