store_watch: every balancer asks the store itself within 75 % of the bound

What callers would see: old routes in use for up to 9 s of 5 on a balancer that reaches the store but hears of it from no other one; and for longer than the bound if the watchers and the next balancers by rank fail together.

Cause: a balancer beyond the ninth rank waited 80 to 180 % of the bound, on the assumption that one before it takes over and that all hear of it.

Change: such a balancer asks after 65 to 75 % of the bound without a provable confirmation, whatever its peers do; the earlier ranks after 50 to 62 %. The rest of the bound is for the call. Batching takes 10 % in place of 15.

Evidence: store_watch_test "every balancer asks the store itself" made no call at 75 % before.

--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -16,16 +16,23 @@
 constexpr int takeover_percent = 50;
 /// Each further place in the ranking adds this part of the time bound to the
 /// time that a balancer waits before it takes over.
-constexpr int takeover_step_percent = 5;
+constexpr int takeover_step_percent = 2;
 /// Maximum number of times that `takeover_step_percent` is added to
-/// `takeover_percent`. Balancers still further down the ranking wait for the
-/// resulting time and an additional delay of up to the time bound, derived from
-/// a hash of the address, so that not all balancers of a large system call an
-/// unreachable store at the same time.
+/// `takeover_percent`.
 constexpr std::size_t max_takeover_steps = 6;
+/// Balancers still further down the ranking take over after a time between
+/// these parts of the time bound, derived from a hash of the address, so that
+/// not all balancers of a large system call an unreachable store at once. The
+/// rest of the bound is for the call. A balancer waits no longer whatever its
+/// peers know, so that it needs none of them to be in time.
+constexpr int last_takeover_percent = 65;
+constexpr int max_takeover_percent = 75;
+/// Balancers that take turns call the store about once per this part of the
+/// time bound, see `retry_delay`.
+constexpr int turn_percent = 5;
 /// After an answer with changes, the next watch starts only after this part of
 /// `apply_within`, so that further changes are batched.
-constexpr int batching_percent = 15;
+constexpr int batching_percent = 10;
 /// A watch call waits at most this part of the time bound for the store to
 /// report a change.
 constexpr int watch_wait_percent = 30;
@@ -85,14 +92,20 @@
 
 auto takeover_delay(const blackboard &board, feed what, std::size_t rank)
     -> milliseconds {
-    const auto steps =
-        std::min<std::size_t>(rank - store_watcher_count, max_takeover_steps);
-    auto percent =
-        takeover_percent + takeover_step_percent * static_cast<int>(steps);
-    if (rank - store_watcher_count > max_takeover_steps)
-        percent +=
-            static_cast<int>(hash_pair(board.members.self.address, 3) % 100);
-    return time_bound(board, what) * percent / 100;
+    const auto place = rank - store_watcher_count;
+    if (place > max_takeover_steps) {
+        constexpr int range = max_takeover_percent - last_takeover_percent;
+        const auto bound = time_bound(board, what);
+        return bound * last_takeover_percent / 100 +
+               milliseconds{static_cast<std::int64_t>(
+                   hash_pair(board.members.self.address, 3) %
+                   static_cast<std::uint64_t>(bound.count() * range / 100 +
+                                              1))};
+    }
+    return time_bound(board, what) *
+           (takeover_percent +
+            takeover_step_percent * static_cast<int>(place)) /
+           100;
 }
 
 auto rank_unknown_time(const blackboard &board, feed what) -> milliseconds {
@@ -138,7 +151,7 @@
 // `retry_delay`.
 auto turn_interval(const blackboard &board, feed what, time_point now)
     -> milliseconds {
-    const auto step = time_bound(board, what) * takeover_step_percent / 100;
+    const auto step = time_bound(board, what) * turn_percent / 100;
     const auto turns =
         static_cast<std::int64_t>(count_live_members(board.members, now)) + 1;
     return std::min(step * turns, max_turn_interval);
@@ -146,8 +159,8 @@
 
 // Time after a refused or failed call until the next one. The preferred
 // watchers, and balancers that cannot serve yet, retry soon. The others take
-// turns: together they call the store about once per `takeover_step_percent` of
-// the time bound, or more often in a fleet so large that `max_turn_interval`
+// turns: together they call the store about once per `turn_percent` of the time
+// bound, or more often in a fleet so large that `max_turn_interval`
 // limits the time between the calls of each.
 auto retry_delay(blackboard &board, feed what, time_point now) -> milliseconds {
     const auto &call = call_state_of(board, what);
