configuration_transfer: configurations travel in blocks named by their content

Cause: a configuration was passed on whole for each change of one route, in a burst of some 250 datagrams that lost each other on thin links. A lost part made the receiver ask for all of them again, and a part of another version made it throw away what it had.

Change: a configuration is cut into blocks named by a hash of their content, as in a Merkle tree. A balancer that hears of a newer one asks for its outline, then for the blocks that it lacks, up to 64 at a time, and again for those that did not arrive in 100 ms, with half of the window. What arrived stays good for the next version; what is put together is what was named. Configurations of one datagram travel as before. Balancers keep the blocks of up to three earlier versions for transfers under way. The cost of a change follows the change, not the state.

The test "a large configuration is split into messages and reassembled" spoke of the parts that are gone. Its successor has the same size, any order and the same limit of a datagram, and loses one message in five.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -166,6 +166,12 @@
     send_messages(it, out);
 }
 
+auto repeat_due_requests(balancer_context &it, time_point now) -> void {
+    std::vector<outgoing_message> out;
+    repeat_block_requests(it.state, now, out);
+    send_messages(it, out);
+}
+
 auto exchange_due_load(balancer_context &it, time_point now) -> void {
     if (!it.options.load_plans || now < it.state.load.next_step)
         return;
@@ -179,6 +185,8 @@
     auto next =
         std::min({it.next_tick, it.next_digest, it.store.next_deadline(),
                   it.state.probes.last_round + probe_interval});
+    if (is_active(it.state.incoming_configuration))
+        next = std::min(next, now + block_timeout / 2);
     if (!it.openings.empty())
         next = std::min(next, it.openings.front().due);
     if (!it.waiting.all.empty())
@@ -311,6 +319,7 @@
         handle_store_answers(it, now);
         start_store_calls(it, now);
         send_due_digests(it, now);
+        repeat_due_requests(it, now);
         update_and_log_rotation(it, now);
         tick(it, now);
         exchange_due_load(it, now);
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "carried/feeds/configuration_transfer.hpp"
 #include "carried/feeds/feed_progress.hpp"
 #include "carried/feeds/reassembly.hpp"
 #include "carried/feeds/store.hpp"
@@ -97,7 +98,8 @@
     /// When a peer was last asked about a confirmation that seemed later than
     /// the own one.
     time_point last_asked{};
-    partial_configuration incoming_configuration;
+    configuration_transfer incoming_configuration;
+    served_configurations served;
     partial_records incoming_records;
     partial_evacuations incoming_evacuations;
     time_point started{};
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -366,33 +366,87 @@
 
 // ---- configurations
 
-auto handle_message(blackboard &board, std::uint32_t from,
-                    const routes_message &message, time_point now,
-                    std::vector<outgoing_message> &out) -> void {
-    auto &own_version = version_of(board, feed::configuration);
+// Whether a peer's configuration may be used and supersedes the one in force.
+auto is_wanted(const blackboard &board, const configuration &head,
+               const reported_version &version) -> bool {
     const auto &current = board.steering.in_force;
-    if (!is_believable(board.store_era, message.version) ||
-        !is_believable(board.store_era,
-                       message.configuration_part.revision.era) ||
-        (own_version.complete && current &&
-         message.configuration_part.revision <= current->revision &&
-         !supersedes(message.configuration_part, *current)))
-        return;
-    board.last_pulled[static_cast<std::size_t>(feed::configuration)] = now;
-    auto complete = add_routes_part(board.incoming_configuration, message);
+    return is_believable(board.store_era, version) &&
+           is_believable(board.store_era, head.revision.era) &&
+           (!version_of(board, feed::configuration).complete || !current ||
+            head.revision > current->revision || supersedes(head, *current));
+}
+
+// Puts a peer's configuration in force, unless it is null or was superseded
+// while it was under way.
+auto adopt_configuration(blackboard &board, std::uint32_t from,
+                         std::shared_ptr<configuration> complete,
+                         const reported_version &version, time_point now,
+                         std::vector<outgoing_message> &out) -> void {
     if (!complete)
         return;
-    const auto initial = !own_version.complete;
+    const auto initial = !version_of(board, feed::configuration).complete;
     const auto revision = complete->revision;
     if (!activate_configuration(board, std::move(complete)) &&
         board.steering.in_force->revision != revision)
         return;
-    adopt_version(board, feed::configuration, message.version, now);
+    adopt_version(board, feed::configuration, version, now);
     board.last_pulled[static_cast<std::size_t>(feed::configuration)] = {};
     if (!initial)
         advertise(board, from, now, out);
 }
 
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const routes_message &message, time_point now,
+                    std::vector<outgoing_message> &out) -> void {
+    if (is_wanted(board, message.whole, message.version))
+        adopt_configuration(board, from,
+                            std::make_shared<configuration>(message.whole),
+                            message.version, now, out);
+}
+
+// The blocks in force are of use for what is received.
+auto cut_in_force(blackboard &board) -> void {
+    if (board.steering.in_force)
+        blocks_in_force(board.served, board.steering.in_force);
+}
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const outline_message &message, time_point now,
+                    std::vector<outgoing_message> &out) -> void {
+    if (!is_wanted(board, message.outline.head, message.version))
+        return;
+    cut_in_force(board);
+    board.last_pulled[static_cast<std::size_t>(feed::configuration)] = now;
+    adopt_configuration(board, from,
+                        begin_transfer(board.incoming_configuration,
+                                       board.served, from, message, now, out),
+                        message.version, now, out);
+}
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const block_request_message &message, time_point /*now*/,
+                    std::vector<outgoing_message> &out) -> void {
+    cut_in_force(board);
+    for (const auto name : message.names) {
+        if (const auto *block = find_block(board.served, name))
+            out.push_back(
+                {.to = from, .message = block_message{.block = *block}});
+    }
+}
+
+auto handle_message(blackboard &board, std::uint32_t from,
+                    const block_message &message, time_point now,
+                    std::vector<outgoing_message> &out) -> void {
+    auto &transfer = board.incoming_configuration;
+    if (!is_active(transfer))
+        return;
+    board.last_pulled[static_cast<std::size_t>(feed::configuration)] = now;
+    const auto version = transfer.version;
+    adopt_configuration(
+        board, from, add_block(transfer, board.served, message.block, now, out),
+        version, now, out);
+}
+
 // ---- evacuations
 
 auto handle_message(blackboard &board, std::uint32_t from,
@@ -469,6 +523,9 @@
     if (current)
         next->revision = std::max(next->revision, current->revision);
     current = std::move(next);
+    auto &incoming = board.incoming_configuration;
+    if (is_active(incoming) && !supersedes(incoming.target.head, *current))
+        end_transfer(incoming);
     auto &cold = board.steering.upstreams.cold;
     update_cold_limits(cold, current.get(), cold.bounds);
     return true;
@@ -488,6 +545,11 @@
         out.push_back({.to = to, .message = digest});
 }
 
+auto repeat_block_requests(blackboard &board, time_point now,
+                           std::vector<outgoing_message> &out) -> void {
+    repeat_requests(board.incoming_configuration, now, out);
+}
+
 auto on_peer_message(blackboard &board, std::uint32_t from,
                      const peer_message &message, time_point now,
                      std::vector<outgoing_message> &out) -> void {
--- a/src/libdogwoodtrack/carried/feeds/gossip_sending.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_sending.cpp
@@ -69,13 +69,24 @@
         out);
 }
 
-auto send_routes(const blackboard &board, std::uint32_t to, time_point asked_at,
-                 time_point now, std::vector<outgoing_message> &out) -> void {
-    if (!board.steering.in_force)
+auto send_configuration(blackboard &board, std::uint32_t to,
+                        time_point asked_at, time_point now,
+                        std::vector<outgoing_message> &out) -> void {
+    const auto &in_force = board.steering.in_force;
+    if (!in_force)
         return;
     const auto version =
         make_reported_version(board, feed::configuration, asked_at, now);
-    add_messages(to, split_routes(*board.steering.in_force, version), out);
+    if (fits_one_datagram(*in_force))
+        out.push_back({.to = to,
+                       .message = routes_message{.whole = *in_force,
+                                                 .version = version}});
+    else
+        out.push_back(
+            {.to = to,
+             .message = outline_message{
+                 .outline = blocks_in_force(board.served, in_force).outline,
+                 .version = version}});
 }
 
 auto send_evacuations(const blackboard &board, std::uint32_t to,
@@ -115,14 +126,14 @@
     return digest;
 }
 
-auto send_state(const blackboard &board, std::uint32_t to, feed what,
+auto send_state(blackboard &board, std::uint32_t to, feed what,
                 const store_revision &since, time_point asked_at,
                 time_point now, std::vector<outgoing_message> &out) -> void {
     if (!version_of(board, what).complete)
         return;
     switch (what) {
     case feed::configuration:
-        return send_routes(board, to, asked_at, now, out);
+        return send_configuration(board, to, asked_at, now, out);
     case feed::evacuations:
         return send_evacuations(board, to, asked_at, now, out);
     default:
--- a/src/libdogwoodtrack/carried/feeds/gossip_sending.hpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_sending.hpp
@@ -14,7 +14,7 @@
 /// after `since`, or all of them if a removal after `since` may be unknown
 /// here. Sends nothing if the feed is not complete here. `asked_at` is as in
 /// `make_digest`.
-auto send_state(const blackboard &board, std::uint32_t to, feed what,
+auto send_state(blackboard &board, std::uint32_t to, feed what,
                 const store_revision &since, time_point asked_at,
                 time_point now, std::vector<outgoing_message> &out) -> void;
 
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -89,6 +89,24 @@
             .records = std::move(records)};
 }
 
+auto make_large_configuration(std::uint64_t revision, std::uint16_t routes)
+    -> std::shared_ptr<configuration> {
+    auto it = make_configuration(revision);
+    for (std::uint16_t i = 1; i < routes; ++i)
+        it->routes.push_back(
+            {.address = {.address = 0xc6120002, .port = i},
+             .services = {{.service = bookings, .weight = 3}}});
+    sort_routes(*it);
+    return it;
+}
+
+auto digests_of(blackboard &it, time_point now)
+    -> std::vector<outgoing_message> {
+    std::vector<outgoing_message> out;
+    send_digests(it, now, out);
+    return out;
+}
+
 struct board_pair {
     blackboard a = make_blackboard(1);
     blackboard b = make_blackboard(2);
@@ -195,9 +213,16 @@
     board_pair two;
     apply_answer(two.a, make_configuration_list(2, 20), start + seconds{1});
     CHECK(two.a.steering.in_force->version == 3);
-    const auto old = split_routes(*make_configuration(1), {.complete = true});
+    const routes_message old{.whole = *make_configuration(1),
+                             .version = {.complete = true}};
     std::vector<outgoing_message> out;
-    on_peer_message(two.a, 2, old.front(), start + seconds{1}, out);
+    on_peer_message(two.a, 2, old, start + seconds{1}, out);
+    const auto outdated = make_block_tree(make_large_configuration(1, 900));
+    on_peer_message(two.a, 2,
+                    outline_message{.outline = outdated.outline,
+                                    .version = {.complete = true}},
+                    start + seconds{1}, out);
+    CHECK(out.empty());
     CHECK(two.a.steering.in_force->version == 3);
 }
 
@@ -265,26 +290,37 @@
     CHECK(version_of(two.a, feed::upstreams).as_of == make_revision(10));
 }
 
-TEST_CASE("a large configuration is split into messages and reassembled, even "
-          "if they arrive in reverse order") {
-    configuration whole = *make_configuration(4);
-    for (std::uint16_t i = 1; i < 900; ++i)
-        whole.routes.push_back(
-            {.address = {.address = 0xc6120002, .port = i},
-             .services = {{.service = bookings, .weight = 3}}});
-    const auto parts =
-        split_routes(whole, {.content = make_revision(4), .complete = true});
-    CHECK(parts.size() > 10);
-    auto it = make_blackboard(1);
-    std::vector<outgoing_message> out;
-    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        const auto buf = encode(*part);
-        CHECK(buf.size() <= 1'400);
-        on_peer_message(it, 2, *decode_peer_message({buf.data(), buf.size()}),
-                        start, out);
+TEST_CASE("a large configuration is received in blocks, in whatever order "
+          "they arrive and although some are lost") {
+    auto whole = make_large_configuration(4, 900);
+    auto a = make_blackboard(1);
+    auto b = make_blackboard(2);
+    introduce({&a, &b});
+    auto answer = make_configuration_list(4, 10);
+    answer.latest_configuration = whole;
+    apply_answer(a, answer, start);
+    auto now = start + seconds{1};
+    std::vector<outgoing_message> waiting;
+    for (int i = 0; !b.steering.in_force && i < 1'000; ++i) {
+        if (waiting.empty())
+            waiting = digests_of(a, now);
+        // The last message is the next to arrive, and one in five is lost.
+        const auto one = waiting.back();
+        waiting.pop_back();
+        if (i % 5 != 4) {
+            const auto buf = encode(one.message);
+            CHECK(buf.size() <= 1'400);
+            on_peer_message(one.to == 1 ? a : b, one.to == 1 ? 2 : 1,
+                            *decode_peer_message({buf.data(), buf.size()}), now,
+                            waiting);
+        }
+        now += milliseconds{1};
+        repeat_block_requests(b, now, waiting);
     }
-    REQUIRE(it.steering.in_force);
-    CHECK(it.steering.in_force->routes.size() == 900);
+    REQUIRE(b.steering.in_force);
+    CHECK(b.steering.in_force->routes.size() == 900);
+    CHECK(blocks_in_force(a.served, a.steering.in_force).outline.names ==
+          blocks_in_force(b.served, b.steering.in_force).outline.names);
 }
 
 TEST_CASE("malformed messages are rejected") {
--- a/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_fields.hpp
@@ -29,7 +29,10 @@
     evacuations = 8,
     load_report = 9,
     load_plan = 10,
-    domain_loads = 11
+    domain_loads = 11,
+    outline = 12,
+    block_request = 13,
+    block = 14
 };
 enum class member_field : protozero::pbf_tag_type {
     address = 1,
@@ -92,6 +95,19 @@
     from_era = 9,
     revision_era = 10
 };
+enum class outline_field : protozero::pbf_tag_type {
+    version = 1,
+    number = 2,
+    revision = 3,
+    revision_era = 4,
+    idle_ms = 5,
+    name = 6
+};
+enum class block_field : protozero::pbf_tag_type {
+    kind = 1,
+    content = 2,
+    name = 3
+};
 enum class route_field : protozero::pbf_tag_type {
     address = 1,
     port = 2,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.cpp
@@ -1,4 +1,5 @@
 #include "carried/feeds/load_fields.hpp"
+#include "carried/feeds/route_encoding.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -8,6 +9,8 @@
 
 /// Upper limit for the estimated size of an encoded record, in bytes.
 constexpr std::size_t max_record_size = 4'096;
+/// Upper limit for the encoded size of a message without its items, in bytes.
+constexpr std::size_t envelope_size = 120;
 
 auto to_wire_ms(milliseconds value) -> std::uint64_t {
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value.count()));
@@ -132,18 +135,44 @@
 auto write_body(builder<envelope_field> &envelope, const routes_message &it)
     -> void {
     builder<batch_field> out(envelope, envelope_field::routes);
-    out.add_uint64(batch_field::number, it.configuration_part.version);
+    out.add_uint64(batch_field::number, it.whole.version);
     write_revision(out, batch_field::revision, batch_field::revision_era,
-                   it.configuration_part.revision);
-    out.add_uint64(batch_field::idle_ms,
-                   to_wire_ms(it.configuration_part.idle_timeout));
+                   it.whole.revision);
+    out.add_uint64(batch_field::idle_ms, to_wire_ms(it.whole.idle_timeout));
     write({out, batch_field::version}, it.version);
-    out.add_uint32(batch_field::part, it.part);
-    out.add_uint32(batch_field::parts, it.parts);
-    for (const auto &route : it.configuration_part.routes)
+    out.add_uint32(batch_field::part, 0);
+    out.add_uint32(batch_field::parts, 1);
+    for (const auto &route : it.whole.routes)
         write({out, batch_field::item}, route);
 }
 
+auto write_body(builder<envelope_field> &envelope, const outline_message &it)
+    -> void {
+    builder<outline_field> out(envelope, envelope_field::outline);
+    const auto &head = it.outline.head;
+    write({out, outline_field::version}, it.version);
+    out.add_uint64(outline_field::number, head.version);
+    write_revision(out, outline_field::revision, outline_field::revision_era,
+                   head.revision);
+    out.add_uint64(outline_field::idle_ms, to_wire_ms(head.idle_timeout));
+    out.add_packed_fixed64(outline_field::name, it.outline.names.begin(),
+                           it.outline.names.end());
+}
+
+auto write_body(builder<envelope_field> &envelope,
+                const block_request_message &it) -> void {
+    builder<block_field> out(envelope, envelope_field::block_request);
+    out.add_packed_fixed64(block_field::name, it.names.begin(), it.names.end());
+}
+
+auto write_body(builder<envelope_field> &envelope, const block_message &it)
+    -> void {
+    builder<block_field> out(envelope, envelope_field::block);
+    out.add_uint32(block_field::kind,
+                   static_cast<std::uint32_t>(it.block.kind));
+    out.add_bytes(block_field::content, it.block.content);
+}
+
 auto write_body(builder<envelope_field> &envelope, const outcomes_message &it)
     -> void {
     builder<list_field> out(envelope, envelope_field::outcomes);
@@ -197,7 +226,6 @@
 auto split(const std::vector<Item> &items, const Message &empty,
            std::vector<Item> &(*items_of)(Message &),
            std::size_t (*size_of)(const Item &)) -> std::vector<Message> {
-    constexpr std::size_t envelope_size = 100;
     std::vector<Message> parts{empty};
     auto size = envelope_size;
     for (const auto &it : items) {
@@ -221,9 +249,10 @@
 auto message_name(const peer_message &message) -> std::string_view {
     static constexpr std::array<std::string_view,
                                 std::variant_size_v<peer_message>>
-        names{"digest",      "pull",       "records",     "routes",
-              "outcomes",    "judgements", "probe",       "evacuations",
-              "load_report", "load_plan",  "domain_loads"};
+        names{"digest",        "pull",       "records",      "routes",
+              "outcomes",      "judgements", "probe",        "evacuations",
+              "load_report",   "load_plan",  "domain_loads", "outline",
+              "block_request", "block"};
     return names[message.index()];
 }
 
@@ -250,20 +279,25 @@
         });
 }
 
-auto split_routes(const configuration &whole, const reported_version &version)
-    -> std::vector<routes_message> {
-    constexpr std::size_t fixed_fields_size = 40;
-    constexpr std::size_t share_size = 34;
-    auto empty_part = whole;
-    empty_part.routes.clear();
-    return split<routes_message, route_spec>(
-        whole.routes, {.configuration_part = empty_part, .version = version},
-        [](routes_message & it) -> auto & {
-            return it.configuration_part.routes;
-        },
-        [](const route_spec &it) {
-            return fixed_fields_size + share_size * it.services.size();
-        });
+auto fits_one_datagram(const configuration &whole) -> bool {
+    auto size = envelope_size;
+    for (const auto &it : whole.routes)
+        size += encode_route(it).size();
+    return size <= max_peer_datagram_size;
+}
+
+auto encode_route(const route_spec &route) -> std::string {
+    std::string buf;
+    builder<batch_field> out(buf);
+    write({out, batch_field::item}, route);
+    return buf;
+}
+
+auto encode_names(std::span<const std::uint64_t> names) -> std::string {
+    std::string buf;
+    builder<block_field> out(buf);
+    out.add_packed_fixed64(block_field::name, names.begin(), names.end());
+    return buf;
 }
 
 auto split_evacuations(const std::vector<evacuated_domain> &domains,
--- a/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "carried/feeds/configuration_blocks.hpp"
 #include "carried/feeds/evacuation_types.hpp"
 #include "carried/feeds/load_messages.hpp"
 #include "carried/members/fleet.hpp"
@@ -65,13 +66,28 @@
     std::vector<upstream_record> records;
 };
 
-/// One part of a configuration: `configuration_part` has only the routes of
-/// this part, but all other fields of the configuration.
+/// A configuration that fits into one datagram.
 struct routes_message {
-    configuration configuration_part;
+    configuration whole;
+    reported_version version;
+};
+
+/// A larger configuration, whose routes are requested in blocks, see
+/// `configuration_blocks.hpp`.
+struct outline_message {
+    configuration_outline outline;
     reported_version version;
-    std::uint32_t part = 0;  ///< index of this part
-    std::uint32_t parts = 1; ///< number of parts
+};
+
+/// Requests blocks of a configuration. Those that the receiver does not have
+/// are left out.
+struct block_request_message {
+    std::vector<block_name> names;
+};
+
+/// A block of a configuration.
+struct block_message {
+    configuration_block block;
 };
 
 /// Request outcomes of the sender's flows at one upstream since the sender's
@@ -112,7 +128,8 @@
     std::variant<digest_message, pull_message, records_message, routes_message,
                  outcomes_message, judgements_message, probe_message,
                  evacuations_message, load_report_message, load_plan,
-                 domain_loads_message>;
+                 domain_loads_message, outline_message, block_request_message,
+                 block_message>;
 
 /// Name of the kind of a message in logs, for example `digest`. Thread safe.
 auto message_name(const peer_message &message) -> std::string_view;
@@ -149,10 +166,9 @@
                    const store_revision &from, const reported_version &version)
     -> std::vector<records_message>;
 
-/// Splits a configuration into as many messages as the datagram limit requires,
-/// at least one. Thread safe.
-auto split_routes(const configuration &whole, const reported_version &version)
-    -> std::vector<routes_message>;
+/// Whether a configuration fits into one datagram, as a `routes_message`.
+/// Thread safe.
+auto fits_one_datagram(const configuration &whole) -> bool;
 
 /// Splits a set of evacuated failure domains into as many messages as the
 /// datagram limit requires, at least one. Thread safe.
--- a/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
+++ b/src/libdogwoodtrack/carried/feeds/peer_messages_read.cpp
@@ -1,4 +1,5 @@
 #include "carried/feeds/load_fields.hpp"
+#include "carried/feeds/route_encoding.hpp"
 
 namespace dogwoodtrack::carried {
 
@@ -308,35 +309,105 @@
     return it;
 }
 
-auto read_routes(reader<batch_field> in) -> routes_message {
+// Balancers of earlier versions split configurations into several parts, which
+// are of no use: the configuration then comes from the store.
+auto read_routes(reader<batch_field> in) -> std::optional<peer_message> {
     routes_message it;
+    std::uint32_t parts = 1;
     while (in.next()) {
         switch (in.tag()) {
         case batch_field::number:
-            it.configuration_part.version = in.get_uint64();
+            it.whole.version = in.get_uint64();
             break;
         case batch_field::revision:
-            it.configuration_part.revision.number = in.get_uint64();
+            it.whole.revision.number = in.get_uint64();
             break;
         case batch_field::revision_era:
-            it.configuration_part.revision.era = in.get_uint64();
+            it.whole.revision.era = in.get_uint64();
             break;
         case batch_field::idle_ms:
-            it.configuration_part.idle_timeout =
-                to_milliseconds(in.get_uint64());
+            it.whole.idle_timeout = to_milliseconds(in.get_uint64());
             break;
         case batch_field::version:
             it.version = read_version(in.get_message());
             break;
-        case batch_field::part:
-            it.part = in.get_uint32();
-            break;
         case batch_field::parts:
-            it.parts = in.get_uint32();
+            parts = in.get_uint32();
             break;
         case batch_field::item:
-            it.configuration_part.routes.push_back(
-                read_route(in.get_message()));
+            it.whole.routes.push_back(read_route(in.get_message()));
+            break;
+        default:
+            in.skip();
+        }
+    }
+    if (parts != 1)
+        return std::nullopt;
+    return it;
+}
+
+// Reads a packed list of names of blocks.
+template <typename Field>
+auto read_packed_names(reader<Field> &in) -> std::vector<block_name> {
+    std::vector<block_name> names;
+    for (const auto name : in.get_packed_fixed64()) {
+        if (names.size() < max_block_names)
+            names.push_back(name);
+    }
+    return names;
+}
+
+auto read_outline(reader<outline_field> in) -> outline_message {
+    outline_message it;
+    auto &head = it.outline.head;
+    while (in.next()) {
+        switch (in.tag()) {
+        case outline_field::version:
+            it.version = read_version(in.get_message());
+            break;
+        case outline_field::number:
+            head.version = in.get_uint64();
+            break;
+        case outline_field::revision:
+            head.revision.number = in.get_uint64();
+            break;
+        case outline_field::revision_era:
+            head.revision.era = in.get_uint64();
+            break;
+        case outline_field::idle_ms:
+            head.idle_timeout = to_milliseconds(in.get_uint64());
+            break;
+        case outline_field::name:
+            it.outline.names = read_packed_names(in);
+            break;
+        default:
+            in.skip();
+        }
+    }
+    return it;
+}
+
+auto read_block_request(reader<block_field> in) -> block_request_message {
+    block_request_message it;
+    while (in.next()) {
+        if (in.tag() == block_field::name)
+            it.names = read_packed_names(in);
+        else
+            in.skip();
+    }
+    return it;
+}
+
+auto read_block(reader<block_field> in) -> block_message {
+    block_message it;
+    while (in.next()) {
+        switch (in.tag()) {
+        case block_field::kind:
+            it.block.kind =
+                in.get_uint32() == 0 ? block_kind::routes : block_kind::names;
+            break;
+        case block_field::content:
+            it.block.content = in.get_bytes();
             break;
         default:
             in.skip();
@@ -481,7 +552,7 @@
     case envelope_field::records:
         return validate_parts(read_records(in.get_message()));
     case envelope_field::routes:
-        return validate_parts(read_routes(in.get_message()));
+        return read_routes(in.get_message());
     case envelope_field::outcomes:
         return read_list<outcomes_message>(in.get_message(), read_outcome);
     case envelope_field::judgements:
@@ -496,6 +567,12 @@
         return read_load_plan(in.get_message());
     case envelope_field::domain_loads:
         return read_domain_loads(in.get_message());
+    case envelope_field::outline:
+        return read_outline(in.get_message());
+    case envelope_field::block_request:
+        return read_block_request(in.get_message());
+    case envelope_field::block:
+        return read_block(in.get_message());
     default:
         return std::nullopt;
     }
@@ -503,6 +580,31 @@
 
 } // namespace
 
+auto decode_routes(std::string_view bytes)
+    -> std::optional<std::vector<route_spec>> {
+    try {
+        std::vector<route_spec> routes;
+        reader<batch_field> in(bytes.data(), bytes.size());
+        while (in.next(batch_field::item))
+            routes.push_back(read_route(in.get_message()));
+        return routes;
+    } catch (const protozero::exception &) {
+        return std::nullopt;
+    }
+}
+
+auto decode_names(std::string_view bytes)
+    -> std::optional<std::vector<std::uint64_t>> {
+    try {
+        reader<block_field> in(bytes.data(), bytes.size());
+        if (!in.next(block_field::name))
+            return std::nullopt;
+        return read_packed_names(in);
+    } catch (const protozero::exception &) {
+        return std::nullopt;
+    }
+}
+
 auto decode_peer_message(std::span<const char> bytes)
     -> std::optional<peer_message> {
     try {
--- a/src/libdogwoodtrack/carried/feeds/reassembly.cpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.cpp
@@ -32,35 +32,6 @@
     return ids;
 }
 
-auto add_routes_part(partial_configuration &partial,
-                     const routes_message &message)
-    -> std::shared_ptr<configuration> {
-    const auto revision = message.configuration_part.revision;
-    if (partial.revision > revision)
-        return nullptr;
-    const auto version = message.configuration_part.version;
-    if (partial.revision != revision || partial.version != version ||
-        partial.parts.size() != message.parts)
-        partial = {.revision = revision,
-                   .version = version,
-                   .parts = std::vector<std::vector<route_spec>>(message.parts),
-                   .missing = message.parts};
-    auto &part = partial.parts[message.part];
-    if (part.empty() && !message.configuration_part.routes.empty()) {
-        part = message.configuration_part.routes;
-        --partial.missing;
-    }
-    if (partial.missing > 0 && !message.configuration_part.routes.empty())
-        return nullptr;
-    auto complete = std::make_shared<configuration>(message.configuration_part);
-    complete->routes.clear();
-    for (auto &routes : partial.parts)
-        complete->routes.insert(complete->routes.end(), routes.begin(),
-                                routes.end());
-    partial = {};
-    return complete;
-}
-
 auto add_evacuations_part(partial_evacuations &partial, std::uint32_t sender,
                           const evacuations_message &message)
     -> std::optional<std::vector<evacuated_domain>> {
--- a/src/libdogwoodtrack/carried/feeds/reassembly.hpp
+++ b/src/libdogwoodtrack/carried/feeds/reassembly.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -9,15 +8,6 @@
 
 namespace dogwoodtrack::carried {
 
-/// A configuration that is being received in parts.
-struct partial_configuration {
-    store_revision revision;
-    std::uint64_t version = 0; ///< see `configuration::version`
-    /// Routes of each part; empty until the part is received.
-    std::vector<std::vector<route_spec>> parts;
-    std::size_t missing = 0; ///< parts not yet received
-};
-
 /// A set of records that is being received in parts.
 struct partial_records {
     std::uint32_t sender = 0;  ///< address of the balancer that sends the set
@@ -47,12 +37,6 @@
                       const records_message &message)
     -> std::optional<std::vector<std::string>>;
 
-/// Adds one part of a configuration; returns the configuration once all parts
-/// were received, else null. Parts of an older revision are ignored.
-auto add_routes_part(partial_configuration &partial,
-                     const routes_message &message)
-    -> std::shared_ptr<configuration>;
-
 /// Adds one part of a set of evacuated failure domains; returns the set once
 /// all parts were received. When a part of another set arrives, the parts
 /// received before are discarded.
--- a/src/libdogwoodtrack/carried/feeds/restored_store_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/restored_store_test.cpp
@@ -270,8 +270,9 @@
                     it.now, out);
     auto forged = *make_configuration(99);
     forged.revision.era = 1'000;
-    on_peer_message(a, 2, split_routes(forged, {.complete = true}).front(),
-                    it.now, out);
+    on_peer_message(
+        a, 2, routes_message{.whole = forged, .version = {.complete = true}},
+        it.now, out);
     CHECK(state_of(a, "i-2") == upstream_state::draining);
     CHECK(a.steering.in_force->version == 30);
     CHECK(a.store_era.era == 0);
--- a/src/libdogwoodtrack/carried/report.cpp
+++ b/src/libdogwoodtrack/carried/report.cpp
@@ -60,6 +60,13 @@
     }
 }
 
+auto write_transfers(buffer &out, const configuration_transfer &it) -> void {
+    write_counter(out, "configuration_blocks_received_total",
+                  it.blocks_received);
+    write_counter(out, "configuration_blocks_repeated_total",
+                  it.blocks_repeated);
+}
+
 auto write_cold_quota(buffer &out, const upstream_table &upstreams,
                       time_point now) -> void {
     const auto &quota = upstreams.cold;
@@ -145,6 +152,7 @@
     write_gauge(out, "members", count_live_members(it.members, now) + 1);
     write_gauge(out, "store_era", it.store_era.era);
     write_feeds(out, it, now);
+    write_transfers(out, it.incoming_configuration);
     write_cold_quota(out, it.steering.upstreams, now);
     write_admission(out, it.steering, now);
     write_plans(out, it.steering, now);
--- a/src/libstandin/fleet_simulation_balancers.cpp
+++ b/src/libstandin/fleet_simulation_balancers.cpp
@@ -50,6 +50,9 @@
                 next_store_call(it.state, static_cast<feed>(f), now_))
             start_store_call(i, *call);
     }
+    std::vector<outgoing_message> repeated;
+    repeat_block_requests(it.state, now_, repeated);
+    send(i, repeated);
     if (now_ >= it.next_digest) {
         it.next_digest = now_ + digest_interval;
         std::vector<outgoing_message> out;
--- a/src/libstandin/spread_model.cpp
+++ b/src/libstandin/spread_model.cpp
@@ -341,6 +341,9 @@
             if (const auto call = next_store_call(it.state, what, now_))
                 start_call(i, *call);
         }
+        std::vector<outgoing_message> repeated;
+        repeat_block_requests(it.state, now_, repeated);
+        send(i, repeated);
         if (now_ >= it.next_digest) {
             it.next_digest = now_ + digest_interval;
             std::vector<outgoing_message> out;
