gossip: requests to peers are repeated until they are answered

What callers would see: an old configuration for up to 3 s after a partition, with three messages in ten lost.

Cause: a lost request for newer state was made again only with the next digest of a peer that had it. These come in clumps, so that requests went out about twice a second while some 24 % of them were answered.

Change: a request is repeated up to four times, 150 ms apart, to the peer that was asked.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -168,7 +168,7 @@
 
 auto repeat_due_requests(balancer_context &it, time_point now) -> void {
     std::vector<outgoing_message> out;
-    repeat_block_requests(it.state, now, out);
+    repeat_requests(it.state, now, out);
     send_messages(it, out);
 }
 
--- a/src/libdogwoodtrack/carried/feeds/configuration_transfer.cpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration_transfer.cpp
@@ -151,8 +151,8 @@
     return complete_transfer(transfer, served);
 }
 
-auto repeat_requests(configuration_transfer &transfer, time_point now,
-                     std::vector<outgoing_message> &out) -> void {
+auto repeat_block_requests(configuration_transfer &transfer, time_point now,
+                           std::vector<outgoing_message> &out) -> void {
     std::vector<block_name> late;
     for (const auto &[name, asked_at] : transfer.asked) {
         if (now - asked_at >= block_timeout)
--- a/src/libdogwoodtrack/carried/feeds/configuration_transfer.hpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration_transfer.hpp
@@ -63,9 +63,9 @@
                std::vector<outgoing_message> &out)
     -> std::shared_ptr<configuration>;
 
-/// Requests blocks again that have not arrived in time.
-auto repeat_requests(configuration_transfer &transfer, time_point now,
-                     std::vector<outgoing_message> &out) -> void;
+/// Requests blocks again that have not arrived within `block_timeout`.
+auto repeat_block_requests(configuration_transfer &transfer, time_point now,
+                           std::vector<outgoing_message> &out) -> void;
 
 /// Ends the transfer of a configuration that is no longer needed. Blocks stay.
 auto end_transfer(configuration_transfer &transfer) -> void;
--- a/src/libdogwoodtrack/carried/feeds/feed_progress.cpp
+++ b/src/libdogwoodtrack/carried/feeds/feed_progress.cpp
@@ -26,6 +26,12 @@
     it.heard = std::max(it.heard, content);
 }
 
+auto lacks_content(const blackboard &board, feed what) -> bool {
+    const auto &own = version_of(board, what);
+    return !own.complete ||
+           board.progress[static_cast<std::size_t>(what)].heard > own.content;
+}
+
 auto behind_for(const blackboard &board, feed what, time_point now)
     -> milliseconds {
     const auto &it = board.progress[static_cast<std::size_t>(what)];
--- a/src/libdogwoodtrack/carried/feeds/feed_progress.hpp
+++ b/src/libdogwoodtrack/carried/feeds/feed_progress.hpp
@@ -13,7 +13,9 @@
     /// When content later than the own one was first heard of; default value:
     /// none is known.
     time_point behind_since{};
-    bool late = false; ///< see `update_lateness`
+    std::uint32_t asked_peer = 0; ///< address of the peer that was asked last
+    unsigned repeats_left = 0;    ///< of the request to `asked_peer`
+    bool late = false;            ///< see `update_lateness`
     /// Times that the feed became late.
     std::uint64_t times_late = 0;
 };
@@ -23,6 +25,9 @@
                            const store_revision &content, time_point now)
     -> void;
 
+/// Whether the feed is not complete here, or a peer has later content of it.
+auto lacks_content(const blackboard &board, feed what) -> bool;
+
 /// Time since this balancer first heard of content that it still lacks; 0 if it
 /// lacks none that it knows of.
 auto behind_for(const blackboard &board, feed what, time_point now)
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -25,9 +25,12 @@
 /// Time after the start in which the complete state is requested only from
 /// peers of the own failure domain, if any are known.
 constexpr milliseconds startup_own_domain_wait{1'200};
-/// If no part of the requested state arrives for this time, the request may be
+/// If no part of the requested state arrives for this time, the request is
 /// repeated.
 constexpr milliseconds pull_retry_delay{150};
+/// Number of times that a request is repeated without another digest of a peer
+/// that has the state.
+constexpr unsigned max_pull_repeats = 4;
 /// Largest state, in upstreams and routes together, that is pushed to a
 /// starting balancer. A larger state has to be requested, or read from the
 /// store.
@@ -100,6 +103,12 @@
            has_own_domain_peer(board.members, now);
 }
 
+auto make_pull(const blackboard &board, feed what, time_point now)
+    -> pull_message {
+    return {
+        .what = what, .since = version_of(board, what).as_of, .asked_at = now};
+}
+
 auto pull(blackboard &board, std::uint32_t from, feed what, time_point now,
           std::vector<outgoing_message> &out) -> void {
     auto &last_pulled = board.last_pulled[static_cast<std::size_t>(what)];
@@ -115,11 +124,10 @@
         defers_to_own_domain(board, from, now))
         return;
     last_pulled = now;
-    out.push_back(
-        {.to = from,
-         .message = pull_message{.what = what,
-                                 .since = version_of(board, what).as_of,
-                                 .asked_at = now}});
+    auto &progress = board.progress[static_cast<std::size_t>(what)];
+    progress.asked_peer = from;
+    progress.repeats_left = max_pull_repeats;
+    out.push_back({.to = from, .message = make_pull(board, what, now)});
 }
 
 // Requests the set of evacuated failure domains if that of the peer is newer,
@@ -545,9 +553,22 @@
         out.push_back({.to = to, .message = digest});
 }
 
-auto repeat_block_requests(blackboard &board, time_point now,
-                           std::vector<outgoing_message> &out) -> void {
-    repeat_requests(board.incoming_configuration, now, out);
+auto repeat_requests(blackboard &board, time_point now,
+                     std::vector<outgoing_message> &out) -> void {
+    repeat_block_requests(board.incoming_configuration, now, out);
+    for (std::size_t i = 0; i < feed_count; ++i) {
+        const auto what = static_cast<feed>(i);
+        auto &progress = board.progress[i];
+        auto &last_pulled = board.last_pulled[i];
+        const auto due = last_pulled != time_point{} &&
+                         now - last_pulled >= pull_retry_delay;
+        if (progress.repeats_left == 0 || !due || !lacks_content(board, what))
+            continue;
+        --progress.repeats_left;
+        last_pulled = now;
+        out.push_back({.to = progress.asked_peer,
+                       .message = make_pull(board, what, now)});
+    }
 }
 
 auto on_peer_message(blackboard &board, std::uint32_t from,
--- a/src/libdogwoodtrack/carried/feeds/gossip.hpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.hpp
@@ -20,11 +20,10 @@
                      const peer_message &message, time_point now,
                      std::vector<outgoing_message> &out) -> void;
 
-/// Requests blocks of a configuration again that have not arrived within
-/// `block_timeout`. To be called at least that often while a transfer is
-/// active.
-auto repeat_block_requests(blackboard &board, time_point now,
-                           std::vector<outgoing_message> &out) -> void;
+/// Repeats requests to peers that were not answered in time. To be called every
+/// `block_timeout` or more often.
+auto repeat_requests(blackboard &board, time_point now,
+                     std::vector<outgoing_message> &out) -> void;
 
 /// Sends a digest without members to a few peers other than `except`. They
 /// request the state that is new to them and ask for the store's confirmation
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -315,7 +315,7 @@
                             waiting);
         }
         now += milliseconds{1};
-        repeat_block_requests(b, now, waiting);
+        repeat_requests(b, now, waiting);
     }
     REQUIRE(b.steering.in_force);
     CHECK(b.steering.in_force->routes.size() == 900);
--- a/src/libstandin/spread_model.cpp
+++ b/src/libstandin/spread_model.cpp
@@ -342,7 +342,7 @@
                 start_call(i, *call);
         }
         std::vector<outgoing_message> repeated;
-        repeat_block_requests(it.state, now_, repeated);
+        repeat_requests(it.state, now_, repeated);
         send(i, repeated);
         if (now_ >= it.next_digest) {
             it.next_digest = now_ + digest_interval;
