gossip: members count as heard of when a message can have arrived, not when it is read

What callers would see: balancers that died are asked and count towards ranks for some seconds longer.

Change: the event loop notes when it last left no message of a peer unread; ages of members count from then. It is the earliest time at which a message that is read now can have arrived, so a balancer that stood still takes what it finds for older than it may be, never for newer, until the next digests arrive.

Evidence: gossip_test "a digest that lay unread does not make members seem" fails with the time of reading (run with this change taken out), passes with it.

--- a/src/libdogwoodtrack/carried/balancer.cpp
+++ b/src/libdogwoodtrack/carried/balancer.cpp
@@ -312,6 +312,15 @@
         });
 }
 
+// Runs the event loop once, and notes when no message of a peer was unread.
+auto wait_for_events(balancer_context &it, time_point until) -> void {
+    const auto begin = monotonic::now();
+    it.peers_read = false;
+    it.loop.run_once(until);
+    if (!it.peers_read)
+        it.state.unread_since = begin;
+}
+
 auto run_loop(balancer_context &it, const std::atomic<bool> &stop,
               std::atomic<bool> &ready) -> void {
     while (true) {
@@ -329,7 +338,7 @@
         ready = is_in_rotation(it.state);
         if (stop && advance_stop(it, now))
             return;
-        it.loop.run_once(next_wake_time(it, now));
+        wait_for_events(it, next_wake_time(it, now));
         // Packets are read before openings are retried, so that an opening
         // whose answer is still in the socket's buffer does not count as
         // unanswered.
--- a/src/libdogwoodtrack/carried/balancer_context.hpp
+++ b/src/libdogwoodtrack/carried/balancer_context.hpp
@@ -33,6 +33,7 @@
     /// Packets held until the configuration and the upstreams are known.
     hold_queue waiting;
     std::deque<pending_opening> openings; ///< ordered by `due`
+    bool peers_read = false; ///< messages were received in this iteration
     time_point next_tick{};
     time_point next_digest{};
     time_point next_held_retry{};
--- a/src/libdogwoodtrack/carried/balancer_feeds.cpp
+++ b/src/libdogwoodtrack/carried/balancer_feeds.cpp
@@ -157,14 +157,18 @@
 auto receive_peer_messages(balancer_context &it) -> void {
     std::array<char, max_packet_size> buf;
     std::vector<outgoing_message> out;
+    const auto begin = monotonic::now();
+    it.peers_read = true;
     for (int i = 0; i < message_batch; ++i) {
         sockaddr_in from{};
         socklen_t from_size = sizeof from;
         const auto size =
             recvfrom(it.peers, buf.data(), buf.size(), 0,
                      reinterpret_cast<sockaddr *>(&from), &from_size);
-        if (size <= 0)
+        if (size <= 0) {
+            it.state.unread_since = begin;
             break;
+        }
         const auto message =
             decode_peer_message({buf.data(), static_cast<std::size_t>(size)});
         if (!message) {
--- a/src/libdogwoodtrack/carried/blackboard.cpp
+++ b/src/libdogwoodtrack/carried/blackboard.cpp
@@ -1,5 +1,6 @@
 #include "carried/blackboard.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace dogwoodtrack::carried {
@@ -46,6 +47,12 @@
     return true;
 }
 
+auto earliest_arrival(const blackboard &board, time_point now) -> time_point {
+    return board.unread_since == time_point{}
+               ? now
+               : std::min(now, board.unread_since);
+}
+
 auto refresh_steering(blackboard &board, time_point now) -> void {
     const auto &version = version_of(board, feed::configuration);
     board.steering.configuration_confirmed =
--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -95,6 +95,9 @@
     /// Addresses of starting balancers, and when this balancer last sent them
     /// the feeds that they lacked, or a digest if the state is large.
     boost::unordered_flat_map<std::uint32_t, time_point> bootstrapped_peers;
+    /// The messages that are being read arrived after this time, when none was
+    /// left unread; default value: they have just arrived.
+    time_point unread_since{};
     /// When a peer was last asked about a confirmation that seemed later than
     /// the own one.
     time_point last_asked{};
@@ -135,6 +138,11 @@
 /// from the store or from a peer.
 auto can_serve(const blackboard &board) -> bool;
 
+/// Earliest time at which a message that is read now can have arrived. Ages in
+/// it count from this time: it may have lain unread while this balancer stood
+/// still.
+auto earliest_arrival(const blackboard &board, time_point now) -> time_point;
+
 /// Updates the part of `steering` that is derived from the rest of the
 /// blackboard: when the configuration was last confirmed, and the rank of this
 /// balancer in its failure domain.
--- a/src/libdogwoodtrack/carried/feeds/gossip.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip.cpp
@@ -275,14 +275,15 @@
 auto handle_message(blackboard &board, std::uint32_t from,
                     const digest_message &message, time_point now,
                     std::vector<outgoing_message> &out) -> void {
+    const auto arrived = earliest_arrival(board, now);
     auto sender = message.sender;
     sender.address = from;
-    sender.last_heard = now;
+    sender.last_heard = arrived;
     update_member(board.members, sender);
     on_limit_flag(board, sender, message.limit_binds, now);
     for (const auto &entry : message.members) {
         auto member = entry.member;
-        member.last_heard = now - entry.age;
+        member.last_heard = arrived - entry.age;
         if (now - member.last_heard < member_retention(board.members))
             update_member(board.members, member);
     }
@@ -581,7 +582,8 @@
     const auto is_new_member = known == board.members.others.end() ||
                                !is_live(board.members, known->second, now);
     if (known != board.members.others.end())
-        known->second.last_heard = now;
+        known->second.last_heard =
+            std::max(known->second.last_heard, earliest_arrival(board, now));
     std::visit(
         [&](const auto &body) { handle_message(board, from, body, now, out); },
         message);
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -550,3 +550,19 @@
     CHECK(confirmed <= confirmed_at);
     CHECK(confirmed > start);
 }
+
+// Guards against balancers that died but count as live, as another one took the
+// ages in messages that had lain unread for current ones.
+TEST_CASE("a digest that lay unread does not make members seem more recently "
+          "heard of than they were") {
+    board_pair two;
+    const auto sent_at = start + seconds{1};
+    auto digest = make_digest_of(two.a);
+    digest.members = {{.member = {.address = 9, .failure_domain = 1},
+                       .age = milliseconds{800}}};
+    two.b.unread_since = sent_at;
+    std::vector<outgoing_message> out;
+    on_peer_message(two.b, 1, digest, start + seconds{4}, out);
+    CHECK(two.b.members.others.at(1).last_heard <= sent_at);
+    CHECK(two.b.members.others.at(9).last_heard <= sent_at - milliseconds{800});
+}
--- a/src/libstandin/spread_model.cpp
+++ b/src/libstandin/spread_model.cpp
@@ -125,7 +125,7 @@
     }
 
     auto make_balancers() -> void {
-        balancers_.resize(options_.domains * options_.balancers);
+        balancers_.resize(std::size_t{options_.domains} * options_.balancers);
         for (std::size_t i = 0; i < balancers_.size(); ++i) {
             auto &it = balancers_[i];
             it.state = make_blackboard(i, true);
@@ -337,6 +337,7 @@
         for (const auto &arrived : std::exchange(it.socket, {}))
             arrived();
         it.socket_size = 0;
+        it.state.unread_since = now_;
         for (const auto what : {feed::configuration, feed::upstreams}) {
             if (const auto call = next_store_call(it.state, what, now_))
                 start_call(i, *call);
