configuration_transfer: a walk through blocks has a limit

Cause: a faulty peer could send blocks that name each other without end, and the receiver would have followed them by recursion.

--- a/src/libdogwoodtrack/carried/feeds/configuration_transfer.cpp
+++ b/src/libdogwoodtrack/carried/feeds/configuration_transfer.cpp
@@ -1,6 +1,7 @@
 #include "carried/feeds/configuration_transfer.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodtrack::carried {
 
@@ -12,6 +13,9 @@
 /// Largest number of blocks of a configuration, for some hundred thousand
 /// routes.
 constexpr std::size_t max_blocks = 1 << 16;
+/// Largest number of levels of blocks below an outline: three hold more than
+/// `max_blocks`.
+constexpr unsigned max_levels = 3;
 /// Configurations before the one in force that are passed on.
 constexpr std::size_t max_earlier_configurations = 3;
 
@@ -23,39 +27,68 @@
                                                : find_block(served, name);
 }
 
+/// A walk through the blocks of a configuration. A faulty peer can name blocks
+/// of blocks without end, so the walk has a limit.
+struct block_walk {
+    const configuration_transfer &transfer;
+    const served_configurations &served;
+    std::size_t visited = 0;
+    bool too_large = false;
+};
+
+// Calls `on_missing(name)` or `on_routes(block)` for each of the named blocks
+// and the blocks named in them, in order.
+auto walk_blocks(block_walk &walk, const std::vector<block_name> &names,
+                 unsigned level, const auto &on_missing, const auto &on_routes)
+    -> void {
+    for (const auto name : names) {
+        walk.too_large |= level > max_levels || ++walk.visited > max_blocks;
+        if (walk.too_large)
+            return;
+        const auto *block = find_known(walk.transfer, walk.served, name);
+        if (block == nullptr)
+            on_missing(name);
+        else if (const auto inner = read_names(*block))
+            walk_blocks(walk, *inner, level + 1, on_missing, on_routes);
+        else
+            on_routes(*block);
+    }
+}
+
 // Adds to the wanted blocks those of `names`, and those named in known ones,
-// that are not known.
+// that are not known. Returns whether there are not too many.
 auto want_missing(configuration_transfer &transfer,
                   const served_configurations &served,
-                  const std::vector<block_name> &names) -> void {
-    for (const auto name : names) {
-        const auto *block = find_known(transfer, served, name);
-        if (block == nullptr) {
+                  const std::vector<block_name> &names) -> bool {
+    block_walk walk{.transfer = transfer, .served = served};
+    walk_blocks(
+        walk, names, 1,
+        [&](block_name name) {
             if (transfer.wanted.insert(name).second)
                 transfer.queue.push_back(name);
-        } else if (const auto inner = read_names(*block)) {
-            want_missing(transfer, served, *inner);
-        }
-    }
+        },
+        [](const configuration_block &) {});
+    return !walk.too_large && transfer.wanted.size() <= max_blocks;
 }
 
-// Appends the routes of the named blocks. Returns whether all are known and
-// well-formed.
-auto append_routes(const configuration_transfer &transfer,
-                   const served_configurations &served,
-                   const std::vector<block_name> &names,
-                   std::vector<route_spec> &routes) -> bool {
-    return std::all_of(names.begin(), names.end(), [&](block_name name) {
-        const auto *block = find_known(transfer, served, name);
-        if (block == nullptr)
-            return false;
-        if (const auto inner = read_names(*block))
-            return append_routes(transfer, served, *inner, routes);
-        const auto read = read_routes(*block);
-        if (read)
-            routes.insert(routes.end(), read->begin(), read->end());
-        return read.has_value();
-    });
+// Routes of the target. Returns nothing if a block is missing or malformed.
+auto assemble_routes(const configuration_transfer &transfer,
+                     const served_configurations &served)
+    -> std::optional<std::vector<route_spec>> {
+    std::vector<route_spec> routes;
+    auto complete = true;
+    block_walk walk{.transfer = transfer, .served = served};
+    walk_blocks(
+        walk, transfer.target.names, 1, [&](block_name) { complete = false; },
+        [&](const configuration_block &block) {
+            const auto read = read_routes(block);
+            complete &= read.has_value();
+            if (read)
+                routes.insert(routes.end(), read->begin(), read->end());
+        });
+    if (!complete || walk.too_large)
+        return std::nullopt;
+    return routes;
 }
 
 auto request_blocks(configuration_transfer &transfer, time_point now,
@@ -80,12 +113,14 @@
     -> std::shared_ptr<configuration> {
     if (!transfer.wanted.empty())
         return nullptr;
+    auto routes = assemble_routes(transfer, served);
     auto whole = std::make_shared<configuration>(transfer.target.head);
-    const auto complete =
-        append_routes(transfer, served, transfer.target.names, whole->routes);
     end_transfer(transfer);
     transfer.received.clear();
-    return complete ? whole : nullptr;
+    if (!routes)
+        return nullptr;
+    whole->routes = std::move(*routes);
+    return whole;
 }
 
 } // namespace
@@ -124,8 +159,7 @@
     transfer.version = message.version;
     transfer.source = from;
     transfer.window = std::max(transfer.window, first_window);
-    want_missing(transfer, served, transfer.target.names);
-    if (transfer.wanted.size() > max_blocks) {
+    if (!want_missing(transfer, served, transfer.target.names)) {
         end_transfer(transfer);
         return nullptr;
     }
@@ -145,8 +179,11 @@
     transfer.received.insert_or_assign(name, block);
     transfer.window = std::min(transfer.window + 1, max_window);
     ++transfer.blocks_received;
-    if (const auto inner = read_names(block))
-        want_missing(transfer, served, *inner);
+    const auto inner = read_names(block);
+    if (inner && !want_missing(transfer, served, *inner)) {
+        end_transfer(transfer);
+        return nullptr;
+    }
     request_blocks(transfer, now, out);
     return complete_transfer(transfer, served);
 }
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include "carried/feeds/gossip.hpp"
+#include "carried/feeds/route_encoding.hpp"
 #include "carried/feeds/store_answers.hpp"
 #include "carried/feeds/store_watch.hpp"
 #include "carried/test_support.hpp"
@@ -566,3 +567,28 @@
     CHECK(two.b.members.others.at(1).last_heard <= sent_at);
     CHECK(two.b.members.others.at(9).last_heard <= sent_at - milliseconds{800});
 }
+
+// Guards against a faulty peer that keeps a balancer walking through blocks.
+TEST_CASE("blocks that name each other without end are not followed") {
+    auto it = make_blackboard(1);
+    configuration_block block{.kind = block_kind::routes,
+                              .content = encode_route({.services = {}})};
+    std::vector<configuration_block> blocks{block};
+    for (int level = 0; level < 12; ++level) {
+        const std::vector<block_name> names(max_block_names, name_of(block));
+        block = {.kind = block_kind::names, .content = encode_names(names)};
+        blocks.push_back(block);
+    }
+    std::vector<outgoing_message> out;
+    const outline_message outline{
+        .outline = {.head = {.version = 1, .revision = make_revision(1)},
+                    .names = {name_of(block)}},
+        .version = {.content = make_revision(1), .complete = true}};
+    for (int i = 0; i < 3; ++i) {
+        on_peer_message(it, 2, outline, start, out);
+        for (const auto &one : blocks)
+            on_peer_message(it, 2, block_message{.block = one}, start, out);
+        std::reverse(blocks.begin(), blocks.end());
+    }
+    CHECK_FALSE(it.steering.in_force);
+}
