members, store_watch: a balancer that was cut off from all others finds back

What callers would see: an old configuration for up to 7 s of 5 after the end of a partition that lasted longer than members count as live.

Cause, two of them. A balancer that counts all others as dead sent digests to nobody, as seeds that are known members were left out, and the others sent it none. And after a failed call it waited for its turn among members that it no longer heard of: up to 8 s, fixed at the failure.

Change: digests go to members that count as dead if there are too few others, and the turn is counted by the members that are live when the call is considered.

The calls of a fleet in an outage are as few as before (store_watch_test, store_return_test).

--- a/src/libdogwoodtrack/carried/blackboard.hpp
+++ b/src/libdogwoodtrack/carried/blackboard.hpp
@@ -31,7 +31,11 @@
     /// Where to watch from if the store has gone back without a new era; else
     /// no revision, and `feed_version::as_of` applies.
     store_revision went_back_to;
-    unsigned failures = 0;   ///< consecutive calls that were refused or failed
+    unsigned failures = 0; ///< consecutive calls that were refused or failed
+    time_point last_failure{};
+    /// Part by which this balancer waits longer than a turn after the last
+    /// failure, in percent.
+    int turn_jitter_percent = 0;
     time_point not_before{}; ///< earliest time of the next call
     /// Time of the last answer other than `refused` or `failed`.
     time_point last_success{};
--- a/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/gossip_test.cpp
@@ -592,3 +592,15 @@
     }
     CHECK_FALSE(it.steering.in_force);
 }
+
+// Guards against a balancer that was cut off for so long that it and the others
+// take each other for dead, and so never send each other a digest again.
+TEST_CASE("a balancer that hears of no live member sends digests to those that "
+          "it knew") {
+    board_pair two;
+    const auto healed = start + member_timeout(two.a.members) + seconds{1};
+    std::vector<outgoing_message> out;
+    send_digests(two.b, healed, out);
+    CHECK(deliver({&two.a, &two.b}, 2, out, healed) > 0);
+    CHECK(is_live(two.a.members, two.a.members.others.at(2), healed));
+}
--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -28,7 +28,7 @@
 constexpr int last_takeover_percent = 65;
 constexpr int max_takeover_percent = 75;
 /// Balancers that take turns call the store about once per this part of the
-/// time bound, see `retry_delay`.
+/// time bound, see `turn_interval`.
 constexpr int turn_percent = 5;
 /// After an answer with changes, the next watch starts only after this part of
 /// `apply_within`, so that further changes are batched.
@@ -62,7 +62,7 @@
 constexpr milliseconds retry_base_delay{150};
 constexpr milliseconds max_retry_delay{1'500};
 /// Longest time, before jitter, between two calls of a balancer that takes
-/// turns with others, see `retry_delay`.
+/// turns with others, see `turn_interval`.
 constexpr milliseconds max_turn_interval{8'000};
 constexpr unsigned max_retry_doublings = 4;
 /// Time after an answer whose era was not believed until the next call. Two
@@ -114,6 +114,31 @@
     return time_bound(board, what) * part / 100;
 }
 
+// Time between two calls of a balancer that takes turns with the others.
+// Together they call the store about once per `turn_percent` of the time bound,
+// or more often in a fleet so large that `max_turn_interval` limits the time
+// between the calls of each.
+auto turn_interval(const blackboard &board, feed what, time_point now)
+    -> milliseconds {
+    const auto step = time_bound(board, what) * turn_percent / 100;
+    const auto turns =
+        static_cast<std::int64_t>(count_live_members(board.members, now)) + 1;
+    return std::min(step * turns, max_turn_interval);
+}
+
+// Whether a balancer that is no preferred watcher waits for its turn, as its
+// last call was refused or failed. Depends on how many members count as live
+// now: one that hears of no other waits for nobody.
+auto waits_for_turn(const blackboard &board, feed what, time_point now)
+    -> bool {
+    const auto &call = board.calls[static_cast<std::size_t>(what)];
+    if (call.failures == 0 || !can_serve(board))
+        return false;
+    const auto turn = turn_interval(board, what, now);
+    return now - call.last_failure <
+           turn + turn * call.turn_jitter_percent / 100;
+}
+
 // Decides whether to call the store for a feed now, and updates
 // `store_call_state::taken_over` accordingly.
 auto decide_store_call(blackboard &board, feed what, time_point now) -> bool {
@@ -132,6 +157,8 @@
     // `on_store_answer`.
     if (call.taken_over && call.failures == 0)
         return true;
+    if (waits_for_turn(board, what, now))
+        return false;
     const auto confirmed = std::max(own_version.confirmed, board.started);
     call.taken_over = now - confirmed >= takeover_delay(board, what, rank);
     return call.taken_over;
@@ -147,31 +174,18 @@
                       bound * watch_wait_percent / 100);
 }
 
-// Time between two calls of a balancer that takes turns with the others, see
-// `retry_delay`.
-auto turn_interval(const blackboard &board, feed what, time_point now)
-    -> milliseconds {
-    const auto step = time_bound(board, what) * turn_percent / 100;
-    const auto turns =
-        static_cast<std::int64_t>(count_live_members(board.members, now)) + 1;
-    return std::min(step * turns, max_turn_interval);
-}
+/// Largest random addition to the time between calls, in percent.
+constexpr unsigned max_jitter_percent = 50;
 
-// Time after a refused or failed call until the next one. The preferred
-// watchers, and balancers that cannot serve yet, retry soon. The others take
-// turns: together they call the store about once per `turn_percent` of the time
-// bound, or more often in a fleet so large that `max_turn_interval`
-// limits the time between the calls of each.
-auto retry_delay(blackboard &board, feed what, time_point now) -> milliseconds {
+// Time after a refused or failed call until the next one, apart from the turns
+// that balancers take which are no preferred watchers.
+auto retry_delay(blackboard &board, feed what) -> milliseconds {
     const auto &call = call_state_of(board, what);
     const auto doublings = std::min(call.failures - 1, max_retry_doublings);
     auto delay = std::min(retry_base_delay * (1 << doublings), max_retry_delay);
     if (!can_serve(board))
         delay = std::min(delay, max_retry_delay_without_state);
-    else if (watch_rank(board.members, now) >= store_watcher_count)
-        delay = std::max(delay, turn_interval(board, what, now));
-    const auto jitter = board.members.random() % 50;
-    return delay + delay * jitter / 100;
+    return delay + delay * call.turn_jitter_percent / 100;
 }
 
 } // namespace
@@ -235,7 +249,10 @@
     }
     case store_outcome::refused:
     case store_outcome::failed:
-        call.not_before = now + retry_delay(board, answer.what, now);
+        call.last_failure = now;
+        call.turn_jitter_percent =
+            static_cast<int>(board.members.random() % max_jitter_percent);
+        call.not_before = now + retry_delay(board, answer.what);
     }
 }
 
--- a/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
@@ -220,3 +220,26 @@
                               now + it.apply_within * latest_percent / 100));
     }
 }
+
+// Guards against a balancer that, after a partition, waits for a turn among
+// members of which it no longer hears.
+TEST_CASE("a balancer that hears of no live member any more soon calls the "
+          "store again after a failure") {
+    auto it = make_fleet().front();
+    const auto failed_at = start + seconds{10};
+    for (std::uint32_t i = 101; i <= 160; ++i)
+        update_member(it.members, {.address = i,
+                                   .failure_domain = 1,
+                                   .capacity = 900,
+                                   .last_heard = failed_at});
+    REQUIRE(next_store_call(it, feed::upstreams, failed_at));
+    std::vector<outgoing_message> out;
+    const auto failed = make_failed_answer(feed::upstreams);
+    on_store_answer(it, failed, failed_at, out);
+    schedule_next_call(it, failed, failed_at);
+    CHECK_FALSE(
+        next_store_call(it, feed::upstreams, failed_at + milliseconds{500}));
+    const auto timeout = member_timeout(it.members);
+    CHECK(next_store_call(it, feed::upstreams,
+                          failed_at + timeout + milliseconds{1}));
+}
--- a/src/libdogwoodtrack/carried/members/fleet.cpp
+++ b/src/libdogwoodtrack/carried/members/fleet.cpp
@@ -101,14 +101,16 @@
     -> std::vector<std::uint32_t> {
     std::vector<std::uint32_t> own_domain;
     std::vector<std::uint32_t> other_domains;
+    std::vector<std::uint32_t> silent;
     for (const auto &[address, member] : members.others) {
         if (!is_live(members, member, now))
-            continue;
-        if (member.failure_domain == members.self.failure_domain)
+            silent.push_back(address);
+        else if (member.failure_domain == members.self.failure_domain)
             own_domain.push_back(address);
         else
             other_domains.push_back(address);
     }
+    std::shuffle(silent.begin(), silent.end(), members.random);
     std::shuffle(own_domain.begin(), own_domain.end(), members.random);
     std::shuffle(other_domains.begin(), other_domains.end(), members.random);
     auto peers = own_domain;
@@ -126,6 +128,11 @@
             !members.others.contains(address))
             peers.push_back(address);
     }
+    for (const auto address : silent) {
+        if (peers.size() >= limit)
+            break;
+        peers.push_back(address);
+    }
     return peers;
 }
 
--- a/src/libdogwoodtrack/carried/members/fleet.hpp
+++ b/src/libdogwoodtrack/carried/members/fleet.hpp
@@ -80,7 +80,8 @@
 
 /// Addresses of up to `limit` live members chosen at random, of which up to
 /// `own_domain_limit` are in the own failure domain. If there are too few,
-/// seeds that are not known as members are added.
+/// seeds that are not known as members are added, then members that count as
+/// dead: a balancer that was cut off from all others finds them again.
 auto random_peers(fleet &members, std::size_t limit,
                   std::size_t own_domain_limit, time_point now)
     -> std::vector<std::uint32_t>;
