store_watch: a balancer that knows that it is behind waits for no turn

Cause: after a failed call a balancer waits for its turn, up to 8 s, and rests on its peers meanwhile, which could not pass the configuration on quickly enough.

Change: turns are for outages of the store. A balancer that has heard of content that it lacks knows that the store has answered somebody, and asks it itself.

Evidence: store_watch_test "waits for no turn" is new.

--- a/src/libdogwoodtrack/carried/feeds/store_watch.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch.cpp
@@ -128,11 +128,12 @@
 
 // Whether a balancer that is no preferred watcher waits for its turn, as its
 // last call was refused or failed. Depends on how many members count as live
-// now: one that hears of no other waits for nobody.
+// now: one that hears of no other waits for nobody, nor does one that knows of
+// content that it lacks, since the store has answered somebody.
 auto waits_for_turn(const blackboard &board, feed what, time_point now)
     -> bool {
     const auto &call = board.calls[static_cast<std::size_t>(what)];
-    if (call.failures == 0 || !can_serve(board))
+    if (call.failures == 0 || !can_serve(board) || lacks_content(board, what))
         return false;
     const auto turn = turn_interval(board, what, now);
     return now - call.last_failure <
--- a/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
+++ b/src/libdogwoodtrack/carried/feeds/store_watch_test.cpp
@@ -243,3 +243,22 @@
     CHECK(next_store_call(it, feed::upstreams,
                           failed_at + timeout + milliseconds{1}));
 }
+
+// Guards against a balancer that, after a partition, knows that it lacks a
+// change, cannot get it from its peers and still waits for its turn.
+TEST_CASE("a balancer that lacks content that it heard of waits for no turn to "
+          "call the store again after a failure") {
+    auto all = make_fleet();
+    auto &it = all.back();
+    const auto failed_at = start + seconds{10};
+    exchange_heartbeats(all, failed_at);
+    REQUIRE(next_store_call(it, feed::configuration, failed_at));
+    std::vector<outgoing_message> out;
+    const auto failed = make_failed_answer(feed::configuration);
+    on_store_answer(it, failed, failed_at, out);
+    schedule_next_call(it, failed, failed_at);
+    const auto next = failed_at + seconds{1};
+    CHECK_FALSE(next_store_call(it, feed::configuration, next));
+    note_reported_content(it, feed::configuration, make_revision(50), next);
+    CHECK(next_store_call(it, feed::configuration, next));
+}
